design: set down the shape, the core types and the control loop

Cause: the repository was empty. Ruled out: locks round shared state and one goroutine per program, since both make a node's behaviour depend on scheduling and can't be replayed in a test.

--- /dev/null
+++ b/internal/message/doc.go
@@ -0,0 +1,5 @@
+// Package message has everything that the control goroutine receives.
+//
+// Messages come from traffic goroutines, from the performer, which reports the
+// results of effects, and from other controllers.
+package message
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,60 @@
+// Package snapshot has the immutable view of control state that traffic
+// goroutines read.
+package snapshot
+
+import (
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+)
+
+// Snapshot is a view of control state at one moment. It is never changed after
+// it was published.
+type Snapshot struct {
+	Self cluster.Node
+	// LeaseUntil is the time before which a dispatch may be sent.
+	LeaseUntil time.Time
+	// Configuration is nil until one was read.
+	Configuration *configuration.Configuration
+	// ConfigurationUntil is the time until which the configuration is known to
+	// be fresh enough for new work.
+	ConfigurationUntil time.Time
+	ConfigurationAsOf  time.Time
+	Assignment         cluster.Assignment
+	Nodes              []cluster.Node
+	// Leaving lists upstreams that get no new work.
+	Leaving []ident.UpstreamID
+	// Draining is true from the request to shut down.
+	Draining bool
+	// Serving is the number of shards that are loaded here.
+	Serving int
+	// UpstreamLoads has a row for each upstream, for status pages.
+	UpstreamLoads []UpstreamLoad
+}
+
+// UpstreamLoad is the node's view of one upstream.
+type UpstreamLoad struct {
+	Upstream ident.UpstreamID
+	InFlight int
+	Limit    int
+	Usable   bool
+}
+
+// Owner returns the node that owns a program.
+func (s *Snapshot) Owner(p ident.ProgramID) (cluster.Node, cluster.Owner, bool) {
+	if len(s.Assignment.Owners) == 0 {
+		return cluster.Node{}, cluster.Owner{}, false
+	}
+	owner := s.Assignment.Owners[p.Shard(len(s.Assignment.Owners))]
+	if owner.VM == s.Self.VM {
+		return s.Self, owner, owner.Incarnation == s.Self.Incarnation
+	}
+	for _, node := range s.Nodes {
+		if node.VM == owner.VM {
+			return node, owner, node.State != cluster.Closed
+		}
+	}
+	return cluster.Node{}, owner, false
+}
--- /dev/null
+++ b/internal/tools/tools.go
@@ -0,0 +1,31 @@
+//go:build tools
+
+// Package tools keeps the versions of the libraries that the project declares
+// in go.mod.
+package tools
+
+import (
+	_ "github.com/BurntSushi/toml"
+	_ "github.com/VictoriaMetrics/metrics"
+	_ "github.com/aws/aws-sdk-go-v2/aws"
+	_ "github.com/aws/aws-sdk-go-v2/credentials"
+	_ "github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	_ "github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	_ "github.com/aws/aws-sdk-go-v2/service/s3"
+	_ "github.com/aws/smithy-go/transport/http"
+	_ "github.com/google/uuid"
+	_ "github.com/jessevdk/go-flags"
+	_ "github.com/juju/errors"
+	_ "github.com/onsi/ginkgo/v2"
+	_ "github.com/onsi/gomega"
+	_ "github.com/rs/zerolog"
+	_ "github.com/sourcegraph/jsonrpc2"
+	_ "github.com/tmaxmax/go-sse"
+	_ "goa.design/goa/v3/cmd/goa"
+	_ "goa.design/goa/v3/dsl"
+	_ "goa.design/goa/v3/http"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "golang.org/x/tools/txtar"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/unit/doc.go
@@ -0,0 +1,2 @@
+// Package unit has the named units of quantities that are not durations.
+package unit
