--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
@@ -71,6 +72,14 @@
 	Run        outcome.Run
 	// Granted is the use of an upstream, set by the admit filter.
 	Granted outcome.Granted
+	// Dispatched is set before the first byte is sent to an upstream. From then
+	// on the call may have run.
+	Dispatched bool
+	// Dispatches counts the dispatches of this attempt.
+	Dispatches int
+	// FirstByte and Duration are measured from the last dispatch.
+	FirstByte time.Duration
+	Duration  time.Duration
 	// Answer and Resident are the result of the dispatch.
 	Answer   record.Answer
 	Resident bool
--- /dev/null
+++ b/internal/filter/manager/manager.go
@@ -0,0 +1,110 @@
+// Package manager has the filter that serves requests about programs as a
+// whole. Calls pass it.
+package manager
+
+import (
+	"context"
+	"strings"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/executor"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/request"
+)
+
+// Manager opens, shows and ends programs.
+type Manager struct {
+	control *executor.Executor
+}
+
+// New returns the filter on the control goroutine.
+func New(control *executor.Executor) *Manager {
+	return &Manager{control: control}
+}
+
+// Serve answers all requests but calls.
+func (m *Manager) Serve(ctx context.Context, x *chain.Exchange, next chain.Handler) error {
+	build, err := m.build(x)
+	if err != nil {
+		return err
+	}
+	if build == nil {
+		return next(ctx, x)
+	}
+	reply, err := m.control.Ask(ctx, build)
+	if err != nil {
+		return err
+	}
+	x.Reply = reply
+	return nil
+}
+
+func (m *Manager) build(x *chain.Exchange) (func(ident.Ticket) message.Message, error) {
+	team := x.Account.Team
+	switch r := x.Request.(type) {
+	case request.Call:
+		return nil, nil
+	case request.Open:
+		if err := m.check(team, r); err != nil {
+			return nil, err
+		}
+		return func(t ident.Ticket) message.Message {
+			return message.OpenProgram{Ticket: t, Program: r.Program, Team: team, Class: r.Class, Budget: r.Budget}
+		}, nil
+	case request.OpenChild:
+		if !strings.HasPrefix(string(r.Child), string(r.Parent)+".") {
+			return nil, failure.New(failure.InvalidRequest, "child id %s must be %s, a dot and a number", r.Child, r.Parent)
+		}
+		return func(t ident.Ticket) message.Message {
+			return message.OpenChild{Ticket: t, Parent: r.Parent, Child: r.Child, Team: team}
+		}, nil
+	case request.End:
+		return func(t ident.Ticket) message.Message {
+			return message.EndProgram{Ticket: t, Program: r.Program, Team: team, Reason: "ended by the caller"}
+		}, nil
+	case request.Show:
+		return func(t ident.Ticket) message.Message {
+			return message.ShowProgram{Ticket: t, Program: r.Program, Team: team}
+		}, nil
+	case request.Resolve:
+		return func(t ident.Ticket) message.Message {
+			answer := record.Answer{Body: r.Answer, Usage: record.Usage{Calls: 1}}
+			return message.ResolveCall{Ticket: t, Program: r.Program, Call: r.Call, Ran: r.Ran, Answer: answer, By: string(r.Plan)}
+		}, nil
+	}
+	return nil, failure.New(failure.Internal, "request type %T is not served; report this", x.Request)
+}
+
+// check compares a new program with what its team and the classes allow.
+func (m *Manager) check(team ident.TeamID, r request.Open) error {
+	current := m.control.Snapshot().Configuration
+	if current == nil {
+		return failure.Refusal(failure.ConfigurationStale, 0, "this VM has no configuration yet; let an operator confirm a plan or ask another VM")
+	}
+	limits, ok := current.Team(team)
+	if !ok {
+		return failure.New(failure.Forbidden, "team %s is not in the configuration; let an operator add it by a plan", team)
+	}
+	if _, ok := current.Class(r.Class); !ok {
+		return failure.New(failure.InvalidRequest, "there is no class %q; use one of %s", r.Class, classes(current))
+	}
+	if r.Budget.Calls <= 0 || r.Budget.Tokens < 0 {
+		return failure.New(failure.InvalidRequest, "the budget needs at least one call and no negative number of tokens")
+	}
+	if r.Budget.Calls > limits.MaxCalls || r.Budget.Tokens > limits.MaxTokens {
+		return failure.New(failure.InvalidRequest, "team %s allows budgets up to %d calls and %d tokens; ask for less", team, limits.MaxCalls, limits.MaxTokens)
+	}
+	return nil
+}
+
+func classes(c *configuration.Configuration) string {
+	var names []string
+	for _, class := range c.Classes {
+		names = append(names, string(class.ID))
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -39,7 +39,10 @@
 type Durable struct{ Token Token }
 
 // Joined says that the node's row is written and which incarnation it has.
-type Joined struct{ Node cluster.Node }
+type Joined struct {
+	Node   cluster.Node
+	SentAt time.Time
+}
 
 // LeaseChanged says until when the node's lease is valid.
 type LeaseChanged struct{ Until time.Time }
@@ -47,6 +50,33 @@
 // Fenced says that the node's row was closed by another: it owns nothing.
 type Fenced struct{}
 
+// ShardClosed says that a shard has another owner.
+type ShardClosed struct{ Shard ident.Shard }
+
+// ReleaseWanted asks for the release of a program's engine memory.
+type ReleaseWanted struct {
+	Program  ident.ProgramID
+	Upstream ident.UpstreamID
+	Shard    ident.Shard
+	Epoch    ident.Epoch
+}
+
+// ReleaseConfirmed says that an engine holds no memory of a program.
+type ReleaseConfirmed struct {
+	Program  ident.ProgramID
+	Upstream ident.UpstreamID
+}
+
+// LookUpWanted asks for the result of a call whose outcome is unknown.
+type LookUpWanted struct {
+	Program  ident.ProgramID
+	Call     ident.CallID
+	Attempt  ident.Attempt
+	Upstream ident.UpstreamID
+	Pool     ident.PoolID
+	Shard    ident.Shard
+}
+
 // Verdict is the result of a conditional write.
 type Verdict string
 
@@ -193,6 +223,10 @@
 func (Joined) sealed()            {}
 func (LeaseChanged) sealed()      {}
 func (Fenced) sealed()            {}
+func (ShardClosed) sealed()       {}
+func (ReleaseWanted) sealed()     {}
+func (ReleaseConfirmed) sealed()  {}
+func (LookUpWanted) sealed()      {}
 func (CommitDone) sealed()        {}
 func (JoinDone) sealed()          {}
 func (ClusterRead) sealed()       {}
--- a/internal/message/traffic.go
+++ b/internal/message/traffic.go
@@ -63,6 +63,8 @@
 	Repeatable bool
 	// Engine is true if the call needs the program's history.
 	Engine bool
+	// First is the caller's statement that it sends the call for the first time.
+	First bool
 }
 
 // WaitAbandoned says that nobody waits for the answer to a ticket any more.
@@ -110,10 +112,13 @@
 // CallFailed reports an attempt without an answer. If the call is not
 // repeatable, its outcome is unknown from now on.
 type CallFailed struct {
-	Program ident.ProgramID
-	Call    ident.CallID
-	Attempt ident.Attempt
-	Err     *failure.Error
+	Program  ident.ProgramID
+	Call     ident.CallID
+	Attempt  ident.Attempt
+	Upstream ident.UpstreamID
+	// Usage is what the failed attempt spent, as far as it is known.
+	Usage record.Usage
+	Err   *failure.Error
 }
 
 // GrantRequested asks for the use of an upstream of a pool. Answered with
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -36,6 +36,8 @@
 	Residents map[ident.UpstreamID]unit.Tokens
 	// Served is the service that the whole tree of the program has attained.
 	Served unit.Tokens
+	// Fresh is true if no earlier attempt of the call can have run.
+	Fresh bool
 }
 
 // Replay answers a repeated call with the answer of the first.
--- a/internal/program/set.go
+++ b/internal/program/set.go
@@ -36,6 +36,8 @@
 		s.complete(state, r)
 	case record.Resolved:
 		s.resolve(state, r)
+	case record.Charged:
+		s.charge(state, r.Usage)
 	case record.Ended:
 		s.end(state, r.Reason)
 	case record.Released:
@@ -165,9 +167,13 @@
 		Attempt:   attempt,
 		Answer:    answer,
 	})
+	s.charge(state, answer.Usage)
+}
+
+func (s Set) charge(state *State, usage record.Usage) {
 	if root, ok := s[state.ID.Root()]; ok {
-		root.Spent.Calls += answer.Usage.Calls
-		root.Spent.Tokens += answer.Usage.Tokens()
+		root.Spent.Calls += usage.Calls
+		root.Spent.Tokens += usage.Tokens()
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -119,6 +119,12 @@
 	By string `json:"by"`
 }
 
+// Charged charges what an attempt without an answer spent.
+type Charged struct {
+	Program ident.ProgramID `json:"program"`
+	Usage   Usage           `json:"usage"`
+}
+
 // Ended ends a program. Its engine memory is to be released.
 type Ended struct {
 	Program ident.ProgramID `json:"program"`
@@ -149,6 +155,9 @@
 // Subject returns the program of the record.
 func (r Resolved) Subject() ident.ProgramID { return r.Program }
 
+// Subject returns the program of the record.
+func (r Charged) Subject() ident.ProgramID { return r.Program }
+
 // Subject returns the program of the record.
 func (r Ended) Subject() ident.ProgramID { return r.Program }
 
@@ -161,5 +170,6 @@
 func (Cancelled) sealed() {}
 func (Completed) sealed() {}
 func (Resolved) sealed()  {}
+func (Charged) sealed()   {}
 func (Ended) sealed()     {}
 func (Released) sealed()  {}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -31,6 +31,10 @@
 // Call runs the next call of a program.
 type Call struct {
 	Program ident.ProgramID
+	// First is the caller's statement that it has not sent this call id before.
+	// Without it a node that holds no record of the call can't promise that the
+	// call has not run.
+	First bool
 	record.Request
 }
 
--- /dev/null
+++ b/internal/sequencer/shard.go
@@ -0,0 +1,169 @@
+package sequencer
+
+import (
+	"fmt"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/program"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+)
+
+// openShard starts to serve a shard. A shard with spans to replay was taken
+// over from an owner that did not hand it over.
+func (s *Sequencer) openShard(m message.ShardOpened) []effect.Effect {
+	if len(m.Row.Spans) > 0 {
+		m.Programs.Recover()
+	}
+	on := &shard{id: m.Shard, epoch: m.Epoch, row: m.Row, programs: m.Programs, active: map[ident.ProgramID]*active{}}
+	s.shards[m.Shard] = on
+	effects := one(s.checkpoint(on))
+	for _, state := range on.programs {
+		if state.Ended {
+			effects = append(effects, s.releaseAll(on, state)...)
+		}
+		for id, call := range state.Calls {
+			if call.Status == program.Unknown {
+				effects = append(effects, effect.Send{Message: lookUp(on, state, id)})
+			}
+		}
+	}
+	return effects
+}
+
+// closeShard prepares a handover: calls that run are finished, new ones wait
+// until the shard has its next owner.
+func (s *Sequencer) closeShard(m message.ShardClosing) []effect.Effect {
+	on, ok := s.shards[m.Shard]
+	if !ok {
+		return nil
+	}
+	on.closing = true
+	return s.drain(on)
+}
+
+// drain writes the checkpoint that ends a handover when nothing is under way.
+func (s *Sequencer) drain(on *shard) []effect.Effect {
+	if !on.closing || on.drained || !on.idle() {
+		return nil
+	}
+	on.drained = true
+	return one(s.checkpoint(on))
+}
+
+func (s *Sequencer) dropShard(id ident.Shard) []effect.Effect {
+	on, ok := s.shards[id]
+	if !ok {
+		return nil
+	}
+	delete(s.shards, id)
+	var effects []effect.Effect
+	for _, m := range on.parked {
+		effects = append(effects, refuse(m.Ticket, notOwner()))
+	}
+	return effects
+}
+
+func (s *Sequencer) checkpointIfDue(on *shard) []effect.Effect {
+	if on.sinceCheckpoint < s.checkpointEvery || on.checkpointing || on.closing {
+		return nil
+	}
+	return one(s.checkpoint(on))
+}
+
+// checkpoint hands a copy of the shard's durable state to the journal. The
+// committer sets the journal position that the copy covers.
+func (s *Sequencer) checkpoint(on *shard) effect.Effect {
+	on.checkpointing = true
+	on.sinceCheckpoint = 0
+	on.pending++
+	row := on.row
+	row.Shard, row.Epoch, row.Spans = on.id, on.epoch, nil
+	row.Checkpoint = fmt.Sprintf("checkpoint/%d/%d-%d", on.id, on.epoch, row.Version+1)
+	c := &message.Checkpoint{Row: row, Programs: on.programs.Clone()}
+	s.lastToken++
+	s.waits[s.lastToken] = checkpointing{shard: on.id, checkpoint: c}
+	return effect.Send{Message: message.Append{Token: s.lastToken, Checkpoint: c}}
+}
+
+func (s *Sequencer) checkpointDone(w checkpointing) []effect.Effect {
+	on, ok := s.shards[w.shard]
+	if !ok {
+		return nil
+	}
+	on.pending--
+	on.checkpointing = false
+	on.row = w.checkpoint.Row
+	on.row.Version++
+	if on.drained {
+		return one(effect.Send{Message: message.ShardDrained{Shard: w.shard}})
+	}
+	return s.drain(on)
+}
+
+// fenced drops everything: another node has closed this node's row. Writes that
+// were under way may or may not have taken effect before that.
+func (s *Sequencer) fenced() []effect.Effect {
+	var effects []effect.Effect
+	for _, w := range s.waits {
+		effects = append(effects, giveUp(w)...)
+	}
+	for _, on := range s.shards {
+		for _, m := range on.parked {
+			effects = append(effects, refuse(m.Ticket, notOwner()))
+		}
+		for _, a := range on.active {
+			effects = append(effects, a.giveUp()...)
+		}
+	}
+	s.waits = map[message.Token]wait{}
+	s.shards = map[ident.Shard]*shard{}
+	return effects
+}
+
+func (a *active) giveUp() []effect.Effect {
+	var effects []effect.Effect
+	for _, m := range a.parked {
+		effects = append(effects, refuse(m.Ticket, notOwner()))
+	}
+	if a.running == nil {
+		return effects
+	}
+	for _, ticket := range a.running.joined {
+		effects = append(effects, refuse(ticket, notDurable()))
+	}
+	if !a.running.started {
+		effects = append(effects, refuse(a.running.arrived.Ticket, notOwner()))
+	}
+	return effects
+}
+
+func giveUp(w wait) []effect.Effect {
+	switch w := w.(type) {
+	case acknowledgement:
+		switch r := w.record.(type) {
+		case record.Intended:
+			return one(refuse(w.ticket, unknownOutcome(r.Request.Call)))
+		case record.Cancelled:
+			return one(refuse(w.ticket, unknownOutcome(r.Call)))
+		}
+		return one(refuse(w.ticket, notDurable()))
+	case completion:
+		return one(refuse(w.ticket, notDurable()))
+	case resolution:
+		return one(refuse(w.ticket, notDurable()))
+	case opening:
+		return one(refuse(w.ticket, notDurable()))
+	case ending:
+		return one(refuse(w.ticket, notDurable()))
+	}
+	return nil
+}
+
+func notDurable() *failure.Error {
+	err := failure.New(failure.NotDurable, "it is not known whether the request was recorded; repeat it with the same call id")
+	err.RetryAfter = backoff
+	return err
+}
