--- a/internal/program/set.go
+++ b/internal/program/set.go
@@ -45,13 +45,16 @@
 	}
 }
 
-// Recover marks the state as taken over from an owner that did not hand it
-// over: intents without an answer are unknown, and the allowance that was not
-// settled counts as spent.
-func (s Set) Recover() {
+// Recover prepares a loaded state for its new owner. Intents without an answer
+// are unknown, since the process that would have recorded the answer is gone.
+// If the old owner did not hand over, the allowance that was not settled counts
+// as spent: it may have been reserved for calls that no record tells of.
+func (s Set) Recover(handedOver bool) {
 	for _, state := range s {
-		state.Spent.Calls = max(state.Spent.Calls, state.Allowance.Calls)
-		state.Spent.Tokens = max(state.Spent.Tokens, state.Allowance.Tokens)
+		if !handedOver {
+			state.Spent.Calls = max(state.Spent.Calls, state.Allowance.Calls)
+			state.Spent.Tokens = max(state.Spent.Tokens, state.Allowance.Tokens)
+		}
 		for id, call := range state.Calls {
 			if call.Status == Intended {
 				call.Status = Unknown
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -23,7 +23,10 @@
 	count           int
 	checkpointEvery int
 	expiryInterval  time.Duration
-	reserver        reserver.Reserver
+	// checkpointInterval bounds the age of the checkpoint of a shard.
+	checkpointInterval time.Duration
+	checkpointAt       time.Time
+	reserver           reserver.Reserver
 
 	leaseUntil time.Time
 	expireAt   time.Time
@@ -101,12 +104,13 @@
 // New returns a sequencer that serves no shard yet.
 func New(options ...Option) *Sequencer {
 	s := &Sequencer{
-		count:           48,
-		checkpointEvery: 512,
-		expiryInterval:  time.Second,
-		reserver:        reserver.Reserver{Ahead: 2},
-		shards:          map[ident.Shard]*shard{},
-		waits:           map[message.Token]wait{},
+		count:              48,
+		checkpointEvery:    512,
+		expiryInterval:     time.Second,
+		checkpointInterval: 30 * time.Second,
+		reserver:           reserver.Reserver{Ahead: 2},
+		shards:             map[ident.Shard]*shard{},
+		waits:              map[message.Token]wait{},
 	}
 	for _, option := range options {
 		option(s)
@@ -167,7 +171,7 @@
 	case message.CacheRead:
 		return s.compareCache(m)
 	case message.Tick:
-		return s.expire(now)
+		return append(s.expire(now), s.checkpointAll(now)...)
 	}
 	return nil
 }
--- a/internal/sequencer/shard.go
+++ b/internal/sequencer/shard.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
@@ -14,9 +17,7 @@
 // openShard starts to serve a shard. A shard with spans to replay was taken
 // over from an owner that did not hand it over.
 func (s *Sequencer) openShard(m message.ShardOpened) []effect.Effect {
-	if len(m.Row.Spans) > 0 {
-		m.Programs.Recover()
-	}
+	m.Programs.Recover(len(m.Row.Spans) == 0)
 	on := &shard{id: m.Shard, epoch: m.Epoch, row: m.Row, programs: m.Programs, active: map[ident.ProgramID]*active{}}
 	s.shards[m.Shard] = on
 	effects := one(s.checkpoint(on))
@@ -73,16 +74,38 @@
 	return one(s.checkpoint(on))
 }
 
+// checkpointAll writes the rows of all shards from time to time, so that the
+// journal that a takeover has to replay is bounded in time as well.
+func (s *Sequencer) checkpointAll(now time.Time) []effect.Effect {
+	if now.Before(s.checkpointAt) {
+		return one(effect.WakeAt{Time: s.checkpointAt})
+	}
+	s.checkpointAt = now.Add(s.checkpointInterval)
+	effects := one(effect.WakeAt{Time: s.checkpointAt})
+	for _, id := range slices.Sorted(maps.Keys(s.shards)) {
+		on := s.shards[id]
+		if !on.checkpointing && !on.closing {
+			effects = append(effects, s.checkpoint(on))
+		}
+	}
+	return effects
+}
+
 // checkpoint hands a copy of the shard's durable state to the journal. The
 // committer sets the journal position that the copy covers.
 func (s *Sequencer) checkpoint(on *shard) effect.Effect {
 	on.checkpointing = true
-	on.sinceCheckpoint = 0
 	on.pending++
 	row := on.row
+	unchanged := on.sinceCheckpoint == 0 && len(row.Spans) == 0 && row.Checkpoint != ""
+	on.sinceCheckpoint = 0
 	row.Shard, row.Epoch, row.Spans = on.id, on.epoch, nil
-	row.Checkpoint = fmt.Sprintf("checkpoint/%d/%d-%d", on.id, on.epoch, row.Version+1)
-	c := &message.Checkpoint{Row: row, Programs: on.programs.Clone()}
+	c := &message.Checkpoint{}
+	if !unchanged {
+		row.Checkpoint = fmt.Sprintf("checkpoint/%d/%d-%d", on.id, on.epoch, row.Version+1)
+		c.Programs = on.programs.Clone()
+	}
+	c.Row = row
 	s.lastToken++
 	s.waits[s.lastToken] = checkpointing{shard: on.id, checkpoint: c}
 	return effect.Send{Message: message.Append{Token: s.lastToken, Checkpoint: c}}
