nodetest: stateful fuzzing of whole nodes against an oracle

Cause: order, history, budget, at most once and true refusals need proof under crash, freeze, outage, lost and late answers before anything is built on them. Ruled out: a cluster simulator; nodes are stepped by hand over a fake table.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -73,10 +73,14 @@
 	// Granted is the use of an upstream, set by the admit filter.
 	Granted outcome.Granted
 	// Dispatched is set before the first byte is sent to an upstream. From then
-	// on the call may have run.
+	// on the call may have run, until it is known that it did not.
 	Dispatched bool
+	// Avoid lists upstreams on which an earlier attempt was interrupted.
+	Avoid []ident.UpstreamID
 	// Dispatches counts the dispatches of this attempt.
 	Dispatches int
+	// Result is the result of the last dispatch.
+	Result Result
 	// FirstByte and Duration are measured from the last dispatch.
 	FirstByte time.Duration
 	Duration  time.Duration
--- a/internal/filter/orderer/orderer.go
+++ b/internal/filter/orderer/orderer.go
@@ -25,6 +25,7 @@
 	control *executor.Executor
 	timers  *timer.Service
 	limit   time.Duration
+	tries   int
 }
 
 // Option changes how New builds an Orderer.
@@ -35,9 +36,14 @@
 	return func(o *Orderer) { o.limit = limit }
 }
 
+// WithTries sets the number of attempts that a call may take.
+func WithTries(tries int) Option {
+	return func(o *Orderer) { o.tries = tries }
+}
+
 // New returns the filter on the control goroutine.
 func New(control *executor.Executor, timers *timer.Service, options ...Option) *Orderer {
-	o := &Orderer{control: control, timers: timers, limit: 5 * time.Minute}
+	o := &Orderer{control: control, timers: timers, limit: 5 * time.Minute, tries: 3}
 	for _, option := range options {
 		option(o)
 	}
@@ -99,23 +105,74 @@
 	return nil
 }
 
+// run passes a call on until an attempt gives an answer, or may not be repeated.
 func (o *Orderer) run(ctx context.Context, x *chain.Exchange, call request.Call, next chain.Handler) error {
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.limit)
 	defer cancel()
 	sink := x.Sink
 	x.Sink = &tolerantSink{sink: sink}
-	err := next(limited, x)
-	x.Sink = sink
-	if err == nil {
+	defer func() { x.Sink = sink }()
+	for try := 1; ; try++ {
+		err := next(limited, x)
+		if err == nil {
+			return nil
+		}
+		if _, interrupted := x.Result.(chain.Interrupted); !interrupted || try == o.tries {
+			return o.giveUp(x, call, err)
+		}
+		if err := o.retry(limited, x, call); err != nil {
+			return err
+		}
+	}
+}
+
+// retry charges an interrupted attempt and starts the next.
+func (o *Orderer) retry(ctx context.Context, x *chain.Exchange, call request.Call) error {
+	reply, err := o.control.Ask(ctx, func(t ident.Ticket) message.Message {
+		return message.CallRetried{
+			Ticket:   t,
+			Program:  call.Program,
+			Call:     call.Call,
+			Attempt:  x.Run.Attempt,
+			Upstream: x.Granted.Upstream.ID,
+			Usage:    x.Answer.Usage,
+		}
+	})
+	if err != nil {
+		failed := *failure.From(err)
+		failed.NotRun = false
+		return &failed
+	}
+	run, ok := reply.(outcome.Run)
+	if !ok {
+		return failure.New(failure.Internal, "unexpected outcome %T; report this", reply)
+	}
+	x.Run, x.Dispatched, x.Result, x.Answer = run, false, nil, record.Answer{}
+	x.Avoid = append(x.Avoid, x.Granted.Upstream.ID)
+	if x.Chunks == 0 {
 		return nil
 	}
+	x.Chunks = 0
+	return x.Sink.Void()
+}
+
+// giveUp reports to the control goroutine how a call ended without an answer.
+func (o *Orderer) giveUp(x *chain.Exchange, call request.Call, err error) error {
 	failed := *failure.From(err)
-	if x.Dispatched {
-		failed.NotRun = false
+	if !x.Dispatched {
+		failed.NotRun = x.Run.Fresh
+		o.control.Post(message.CallWithdrawn{Program: call.Program, Call: call.Call, Attempt: x.Run.Attempt, Err: &failed})
 		return &failed
 	}
-	failed.NotRun = x.Run.Fresh
-	o.control.Post(message.CallWithdrawn{Program: call.Program, Call: call.Call, Attempt: x.Run.Attempt, Err: &failed})
+	failed.NotRun = false
+	o.control.Post(message.CallFailed{
+		Program:  call.Program,
+		Call:     call.Call,
+		Attempt:  x.Run.Attempt,
+		Upstream: x.Granted.Upstream.ID,
+		Usage:    x.Answer.Usage,
+		Err:      &failed,
+	})
 	return &failed
 }
 
--- a/internal/message/traffic.go
+++ b/internal/message/traffic.go
@@ -116,11 +116,23 @@
 	Call     ident.CallID
 	Attempt  ident.Attempt
 	Upstream ident.UpstreamID
-	// Usage is what the failed attempt spent, as far as it is known.
+	// Usage is what the failed attempt spent at most.
 	Usage record.Usage
 	Err   *failure.Error
 }
 
+// CallRetried reports an attempt without an answer of a call that is to be run
+// again at once. Answered like CallArrived.
+type CallRetried struct {
+	Ticket   ident.Ticket
+	Program  ident.ProgramID
+	Call     ident.CallID
+	Attempt  ident.Attempt
+	Upstream ident.UpstreamID
+	// Usage is what the failed attempt spent at most.
+	Usage record.Usage
+}
+
 // GrantRequested asks for the use of an upstream of a pool. Answered with
 // outcome.Granted or outcome.Refused.
 type GrantRequested struct {
@@ -172,5 +184,6 @@
 func (CancelRequested) sealed() {}
 func (CallCompleted) sealed()   {}
 func (CallFailed) sealed()      {}
+func (CallRetried) sealed()     {}
 func (GrantRequested) sealed()  {}
 func (GrantReturned) sealed()   {}
--- /dev/null
+++ b/internal/nodetest/properties_test.go
@@ -0,0 +1,149 @@
+package nodetest
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict. Longer runs
+// set SPUR_RAPID_SEED, SPUR_RAPID_CHECKS and SPUR_RAPID_STEPS.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, fallback := range map[string]string{"seed": "20261204", "checks": "300", "steps": "60"} {
+		value := os.Getenv("SPUR_RAPID_" + map[string]string{"seed": "SEED", "checks": "CHECKS", "steps": "STEPS"}[name])
+		if value == "" {
+			value = fallback
+		}
+		if err := flag.Set("rapid."+name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestNode(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "node")
+}
+
+// Guards against lost or doubled work when nodes crash, freeze beyond their
+// lease, take over from one another, and when the platform is out, loses
+// answers or applies writes late.
+var _ = ginkgo.It("keeps order, history, budget, at-most-once and true refusals under faults", func() {
+	rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+		o := newOracle(t.Fatalf)
+		w := newWorld(o)
+		t.Repeat(w.actions())
+		w.heal()
+		w.checkHistories(t.Fatalf)
+	})
+})
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	anyNode := func(t *rapid.T) int { return rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node") }
+	send := func(t *rapid.T) {
+		c := rapid.SampledFrom(w.clients).Draw(t, "client")
+		once := rapid.Bool().Draw(t, "once")
+		n := w.nodes[anyNode(t)]
+		if rapid.IntRange(0, 3).Draw(t, "located") > 0 {
+			n = w.owner(c.program, n)
+		}
+		w.send(c, n, once)
+	}
+	work := func(t *rapid.T) {
+		var able []*worker
+		for _, k := range w.workers {
+			if !k.node.frozen && (k.stage == ready || k.stage == checked) {
+				able = append(able, k)
+			}
+		}
+		if len(able) == 0 {
+			send(t)
+			return
+		}
+		k := rapid.SampledFrom(able).Draw(t, "worker")
+		if k.stage == ready {
+			w.check(k)
+			return
+		}
+		w.dispatch(k, rapid.IntRange(0, 4).Draw(t, "breaks") == 0)
+	}
+	run := func(t *rapid.T) {
+		n := w.nodes[anyNode(t)]
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			n.step()
+		}
+		w.collect()
+	}
+	pass := func(t *rapid.T) {
+		w.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond)
+	}
+	return map[string]func(*rapid.T){
+		"send": send, "send again": send, "work": work, "work on": work, "work more": work,
+		"run": run, "run on": run, "pass": pass, "pass on": pass,
+		"crash":  func(t *rapid.T) { w.crash(anyNode(t)) },
+		"freeze": func(t *rapid.T) { n := w.nodes[anyNode(t)]; n.frozen = !n.frozen },
+		"outage": func(*rapid.T) { w.platform.outage = !w.platform.outage },
+		"lose":   func(*rapid.T) { w.platform.lost++ },
+		"delay":  func(*rapid.T) { w.platform.dropped++ },
+		"arrive": func(*rapid.T) { w.platform.arrive() },
+		"show": func(t *rapid.T) {
+			w.show(w.clients[rapid.IntRange(0, len(w.clients)-1).Draw(t, "client")].program, w.nodes[anyNode(t)])
+		},
+	}
+}
+
+// owner returns the node that serves a program by its own view.
+func (w *world) owner(id ident.ProgramID, fallback *node) *node {
+	for _, n := range w.nodes {
+		if _, owner, known := n.snapshot().Owner(id); known && owner.VM == n.vm && !n.frozen {
+			return n
+		}
+	}
+	return fallback
+}
+
+func (w *world) show(id ident.ProgramID, n *node) {
+	if n.frozen || !w.clock.Now().Before(n.snapshot().LeaseUntil) {
+		return
+	}
+	ticket := n.ask(func(t ident.Ticket) message.Message {
+		return message.ShowProgram{Ticket: t, Program: id, Team: "team"}
+	})
+	if shown, ok := n.take(ticket).(outcome.Shown); ok {
+		w.oracle.compare(shown.View.State)
+	}
+}
+
+// heal ends all faults and lets the nodes recover.
+func (w *world) heal() {
+	w.platform.outage, w.platform.lost, w.platform.dropped = false, 0, 0
+	for _, n := range w.nodes {
+		n.frozen = false
+	}
+	w.advance(30 * time.Second)
+}
+
+func (w *world) checkHistories(failf func(string, ...any)) {
+	for _, c := range w.clients {
+		answer := w.request(func(t ident.Ticket) message.Message {
+			return message.ShowProgram{Ticket: t, Program: c.program, Team: "team"}
+		})
+		shown, ok := answer.(outcome.Shown)
+		if !ok {
+			failf("property 2: program %s can't be shown after all faults ended", c.program)
+			return
+		}
+		w.oracle.compare(shown.View.State)
+	}
+}
--- /dev/null
+++ b/internal/nodetest/world_test.go
@@ -0,0 +1,253 @@
+package nodetest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const budgetCalls = unit.Calls(9)
+
+// stage is how far a worker has brought its call.
+type stage int
+
+const (
+	waitsForIntent stage = iota
+	ready
+	checked
+	waitsForRecord
+	waitsForCancel
+	waitsForRetry
+)
+
+// worker is the traffic goroutine of one call on one node.
+type worker struct {
+	node   *node
+	client *client
+	call   call
+	run    outcome.Run
+	stage  stage
+	ticket ident.Ticket
+}
+
+// call is what a client sends.
+type call struct {
+	id       ident.CallID
+	position ident.Position
+	once     bool
+	sent     bool
+}
+
+// client runs the calls of one program one after the other.
+type client struct {
+	program ident.ProgramID
+	next    ident.Position
+	current *call
+	waits   []pendingCall
+	stopped bool
+}
+
+type pendingCall struct {
+	node   *node
+	ticket ident.Ticket
+	call   call
+}
+
+// world is a deployment: nodes, the platform, clients and the oracle.
+type world struct {
+	clock     *timer.Manual
+	platform  *platform
+	nodes     []*node
+	processes int
+	clients   []*client
+	workers   []*worker
+	oracle    *oracle
+	calls     int
+}
+
+func newWorld(oracle *oracle) *world {
+	w := &world{clock: timer.NewManual(time.Unix(1e9, 0)), platform: newPlatform(), oracle: oracle}
+	for i := range 3 {
+		w.nodes = append(w.nodes, w.start(ident.VMID(fmt.Sprintf("vm%d", i))))
+	}
+	w.advance(12 * time.Second)
+	for _, root := range []ident.ProgramID{"alpha", "beta"} {
+		w.open(root)
+		w.clients = append(w.clients, &client{program: root, next: 1}, &client{program: root.Child(1), next: 1})
+	}
+	return w
+}
+
+func (w *world) start(vm ident.VMID) *node {
+	w.processes++
+	return startNode(vm, w.processes, w.clock, w.platform)
+}
+
+func (w *world) open(root ident.ProgramID) {
+	w.request(func(t ident.Ticket) message.Message {
+		return message.OpenProgram{Ticket: t, Program: root, Team: "team", Budget: record.Budget{Calls: budgetCalls}}
+	})
+	w.request(func(t ident.Ticket) message.Message {
+		return message.OpenChild{Ticket: t, Parent: root, Child: root.Child(1), Team: "team"}
+	})
+}
+
+// request asks all nodes in turn until one gives an answer that is no refusal.
+func (w *world) request(build func(ident.Ticket) message.Message) outcome.Outcome {
+	for range 40 {
+		for _, n := range w.nodes {
+			if n.frozen {
+				continue
+			}
+			ticket := n.ask(build)
+			w.advance(500 * time.Millisecond)
+			answer := n.take(ticket)
+			if _, refused := answer.(outcome.Refused); answer != nil && !refused {
+				return answer
+			}
+		}
+	}
+	return nil
+}
+
+// settle runs all nodes until nothing is due.
+func (w *world) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, n := range w.nodes {
+			for n.step() {
+				busy = true
+			}
+		}
+		w.collect()
+	}
+}
+
+// advance lets time pass in small steps, so that nodes act when they asked to.
+func (w *world) advance(d time.Duration) {
+	const slice = 100 * time.Millisecond
+	for passed := time.Duration(0); passed < d; passed += slice {
+		w.clock.Advance(slice)
+		w.settle()
+	}
+}
+
+// crash replaces a node's process by a new one; its workers are gone.
+func (w *world) crash(i int) {
+	old := w.nodes[i]
+	w.nodes[i] = w.start(old.vm)
+	var kept []*worker
+	for _, k := range w.workers {
+		if k.node != old {
+			kept = append(kept, k)
+		}
+	}
+	w.workers = kept
+	for _, c := range w.clients {
+		var waits []pendingCall
+		for _, p := range c.waits {
+			if p.node != old {
+				waits = append(waits, p)
+			}
+		}
+		c.waits = waits
+	}
+}
+
+// send lets a client send its current call, or a new one, to a node.
+func (w *world) send(c *client, n *node, once bool) {
+	if c.stopped || n.frozen {
+		return
+	}
+	if c.current == nil {
+		w.calls++
+		c.current = &call{id: ident.CallID(fmt.Sprintf("c%d", w.calls)), position: c.next, once: once}
+		w.oracle.once[c.current.id] = once
+	}
+	first := !c.current.sent
+	c.current.sent = true
+	sent := *c.current
+	ticket := n.ask(func(t ident.Ticket) message.Message {
+		return message.CallArrived{
+			Ticket: t, Program: c.program, Team: "team", Repeatable: !sent.once, First: first,
+			Request: record.Request{Call: sent.id, Position: sent.position},
+		}
+	})
+	c.waits = append(c.waits, pendingCall{node: n, ticket: ticket, call: sent})
+	w.collect()
+}
+
+// collect hands answers to the clients and workers that wait for them.
+func (w *world) collect() {
+	for _, c := range w.clients {
+		waits := c.waits
+		c.waits = nil
+		for _, p := range waits {
+			answer := p.node.take(p.ticket)
+			if answer == nil {
+				c.waits = append(c.waits, p)
+				continue
+			}
+			w.answered(c, p, answer)
+		}
+	}
+	for _, k := range append([]*worker{}, w.workers...) {
+		if answer := k.node.take(k.ticket); answer != nil {
+			w.proceed(k, answer)
+		}
+	}
+}
+
+func (w *world) answered(c *client, p pendingCall, answer outcome.Outcome) {
+	switch answer := answer.(type) {
+	case outcome.Run:
+		k := &worker{node: p.node, client: c, call: p.call, run: answer, stage: ready}
+		w.workers = append(w.workers, k)
+		if p.call.once {
+			k.stage = waitsForIntent
+			k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
+				return message.IntentRequested{Ticket: t, Program: c.program, Call: p.call.id, Attempt: answer.Attempt, Upstream: "u"}
+			})
+		}
+	case outcome.Replay:
+		w.completed(c, p.call, answer.Answer.Body)
+	case outcome.Refused:
+		w.refused(c, p.call, answer.Err)
+	}
+}
+
+func (w *world) completed(c *client, k call, answer string) {
+	w.oracle.complete(c.program, k.position, answer)
+	if c.current != nil && c.current.id == k.id {
+		c.current = nil
+		c.next = k.position + 1
+	}
+}
+
+func (w *world) refused(c *client, k call, err *failure.Error) {
+	if err.NotRun {
+		w.oracle.refusedNotRun(k.id)
+		if c.current != nil && c.current.id == k.id {
+			c.current = nil
+		}
+	}
+	if err.Kind == failure.BudgetExhausted || err.Kind == failure.OutcomeUnknown {
+		c.stopped = true
+	}
+}
+
+func (w *world) drop(k *worker) {
+	for i, other := range w.workers {
+		if other == k {
+			w.workers = append(w.workers[:i:i], w.workers[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/sequencer/progress.go
+++ b/internal/sequencer/progress.go
@@ -32,8 +32,7 @@
 			"the lease of this VM has lapsed before the dispatch; repeat the call with the same call id")))
 	}
 	r := activity.running
-	r.intended = true
-	r.upstream = m.Upstream
+	r.intended, r.durableIntent = true, false
 	intended := record.Intended{
 		Program:  m.Program,
 		Request:  r.arrived.Request,
@@ -58,7 +57,7 @@
 // withdraw ends a call that was let run and was not dispatched.
 func (s *Sequencer) withdraw(now time.Time, m message.CallWithdrawn) []effect.Effect {
 	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
-	if !ok {
+	if !ok || activity.running.finishing {
 		return nil
 	}
 	return s.finish(now, on, state, activity, func(ticket ident.Ticket) effect.Effect {
@@ -69,10 +68,15 @@
 // fail ends an attempt without an answer.
 func (s *Sequencer) fail(now time.Time, m message.CallFailed) []effect.Effect {
 	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
-	if !ok {
+	if !ok || activity.running.finishing {
 		return nil
 	}
 	r := activity.running
+	if r.intended && !r.durableIntent {
+		// The intent may still become durable; until then the position is taken.
+		r.failed = &m
+		return nil
+	}
 	if r.arrived.Repeatable {
 		return s.failRepeatable(now, m, on, state, activity)
 	}
@@ -92,17 +96,56 @@
 }
 
 func (s *Sequencer) failRepeatable(now time.Time, m message.CallFailed, on *shard, state *program.State, activity *active) []effect.Effect {
-	if m.Upstream != "" && activity.running.arrived.Engine {
-		state.Residents[m.Upstream] = max(state.Residents[m.Upstream], 0)
-	}
+	charge := s.charge(on, state, activity, m.Upstream, m.Usage)
 	effects := s.finish(now, on, state, activity, func(ticket ident.Ticket) effect.Effect {
 		return refuse(ticket, m.Err)
 	})
-	if m.Usage.Tokens() > 0 || m.Usage.Calls > 0 {
-		charged := record.Charged{Program: m.Program, Usage: m.Usage}
-		effects = append(effects, s.record(on, acknowledgement{record: charged}, charged))
+	return append(effects, charge...)
+}
+
+// charge records what a failed attempt spent. Until the record is durable, its
+// reservation is kept, so that the budget holds in between.
+func (s *Sequencer) charge(on *shard, state *program.State, activity *active, upstream ident.UpstreamID, usage record.Usage) []effect.Effect {
+	r := activity.running
+	if upstream != "" && r.arrived.Engine {
+		state.Residents[upstream] = max(state.Residents[upstream], 0)
+	}
+	if usage == (record.Usage{}) {
+		return nil
 	}
-	return effects
+	root := on.activity(state.ID.Root())
+	root.reserved = add(root.reserved, r.need)
+	charged := record.Charged{Program: state.ID, Usage: usage}
+	return one(s.record(on, acknowledgement{record: charged, release: r.need}, charged))
+}
+
+// retry charges a failed attempt and lets the same call run again, as far as
+// the budget covers one more attempt. Those that joined the call go on waiting.
+func (s *Sequencer) retry(now time.Time, m message.CallRetried) []effect.Effect {
+	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
+	if !ok || activity.running.finishing {
+		return one(refuse(m.Ticket, notOwner()))
+	}
+	r := activity.running
+	effects := s.charge(on, state, activity, m.Upstream, m.Usage)
+	root := on.activity(state.ID.Root())
+	root.reserved = subtract(root.reserved, r.need)
+	activity.running = nil
+	arrived := r.arrived
+	arrived.Ticket = m.Ticket
+	if state.Ended || activity.ending {
+		effects = append(effects, s.turnAway(arrived, activity, failure.ProgramEnded, "program %s has ended; open a new one", m.Program))
+	} else {
+		effects = append(effects, s.reserve(now, arrived, on, state, activity)...)
+	}
+	if activity.running != nil {
+		activity.running.joined = r.joined
+		return effects
+	}
+	for _, ticket := range r.joined {
+		effects = append(effects, refuse(ticket, notDurable()))
+	}
+	return append(effects, s.unpark(now, on, activity)...)
 }
 
 // complete records the whole answer of a call.
@@ -152,8 +195,14 @@
 	for _, ticket := range r.joined {
 		effects = append(effects, tell(ticket))
 	}
+	return append(effects, s.unpark(now, on, activity)...)
+}
+
+// unpark lets the calls that waited for the running one arrive again.
+func (s *Sequencer) unpark(now time.Time, on *shard, activity *active) []effect.Effect {
 	parked := activity.parked
 	activity.parked = nil
+	var effects []effect.Effect
 	for _, arrived := range parked {
 		effects = append(effects, s.arrive(now, arrived)...)
 	}
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -79,7 +79,10 @@
 	finishing bool
 	// intended is true when an intent was handed to the journal.
 	intended bool
-	upstream ident.UpstreamID
+	// durableIntent is true when the intent is durable.
+	durableIntent bool
+	// failed is set if the attempt failed before its intent was durable.
+	failed *message.CallFailed
 }
 
 // Option changes how New builds a Sequencer.
@@ -143,6 +146,8 @@
 		return s.complete(m)
 	case message.CallFailed:
 		return s.fail(now, m)
+	case message.CallRetried:
+		return s.retry(now, m)
 	default:
 		return s.handleControl(now, m)
 	}
--- a/internal/sequencer/waits.go
+++ b/internal/sequencer/waits.go
@@ -29,6 +29,8 @@
 type acknowledgement struct {
 	record record.Record
 	ticket ident.Ticket
+	// release is a reservation that the record replaces.
+	release record.Allowance
 }
 
 // completion ends the running call with its answer.
@@ -93,7 +95,9 @@
 		return s.extended(now, on, w)
 	case acknowledgement:
 		on.programs.Apply(w.record)
-		return one(answer(w.ticket, outcome.Durable{}))
+		root := on.activity(w.record.Subject().Root())
+		root.reserved = subtract(root.reserved, w.release)
+		return append(one(answer(w.ticket, outcome.Durable{})), s.intended(now, on, w.record)...)
 	case completion:
 		return s.completed(now, on, w)
 	case resolution:
@@ -112,6 +116,29 @@
 	return nil
 }
 
+// intended notes that the intent of a running call is durable, or cancelled.
+func (s *Sequencer) intended(now time.Time, on *shard, written record.Record) []effect.Effect {
+	if cancelled, ok := written.(record.Cancelled); ok {
+		if r := on.activity(cancelled.Program).running; r != nil && r.arrived.Request.Call == cancelled.Call {
+			r.intended, r.durableIntent = false, false
+		}
+		return nil
+	}
+	intent, ok := written.(record.Intended)
+	if !ok {
+		return nil
+	}
+	r := on.activity(intent.Program).running
+	if r == nil || r.arrived.Request.Call != intent.Request.Call {
+		return nil
+	}
+	r.durableIntent = true
+	if r.failed == nil {
+		return nil
+	}
+	return s.fail(now, *r.failed)
+}
+
 // extended starts the call that waited for a larger allowance. If its caller
 // has gone in the meantime, nobody would dispatch it, so that it is withdrawn.
 func (s *Sequencer) extended(now time.Time, on *shard, w extension) []effect.Effect {
