sequencer, program: checkpoints and refusals that the oracle found false

Cause: (1) a checkpoint taken while a commit's records were applied one by one named the commit's position without holding its later records: history was lost at a takeover. (2) a frozen owner that woke up told 'not run' for a call that its caller had repeated at the new owner. Change: all records of a commit are applied before anything goes on, and the sequencer names the position itself; a refusal after the lease is no promise.

--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -119,11 +119,6 @@
 	if !c.joined {
 		return nil
 	}
-	if m.Checkpoint != nil {
-		// The programs of the checkpoint contain what is durable now. A group
-		// that is under way comes after it and has to be replayed.
-		m.Checkpoint.Row.Covered = c.node.Head
-	}
 	c.queue = append(c.queue, m)
 	return c.next(now)
 }
@@ -212,9 +207,7 @@
 	} else {
 		c.announce = true
 	}
-	for _, token := range g.tokens {
-		effects = append(effects, effect.Send{Message: message.Durable{Token: token}})
-	}
+	effects = append(effects, effect.Send{Message: message.Durable{Tokens: g.tokens, Head: c.node.Head}})
 	return append(effects, c.next(now)...)
 }
 
--- a/internal/filter/orderer/orderer.go
+++ b/internal/filter/orderer/orderer.go
@@ -160,7 +160,9 @@
 func (o *Orderer) giveUp(x *chain.Exchange, call request.Call, err error) error {
 	failed := *failure.From(err)
 	if !x.Dispatched {
-		failed.NotRun = x.Run.Fresh
+		// Beyond the lease, the caller may have repeated the call at another node
+		// that has run it by now.
+		failed.NotRun = x.Run.Fresh && o.control.Snapshot().Holds(call.Program, x.Run.Epoch, o.timers.Now())
 		o.control.Post(message.CallWithdrawn{Program: call.Program, Call: call.Call, Attempt: x.Run.Attempt, Err: &failed})
 		return &failed
 	}
--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -35,8 +35,12 @@
 	Checkpoint *Checkpoint
 }
 
-// Durable says that the entries of an Append are durable.
-type Durable struct{ Token Token }
+// Durable says that the entries of a group of Appends are durable, and that the
+// journal is durable up to Head.
+type Durable struct {
+	Tokens []Token
+	Head   ident.Sequence
+}
 
 // Joined says that the node's row is written and which incarnation it has.
 type Joined struct {
--- a/internal/nodetest/oracle_test.go
+++ b/internal/nodetest/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/program"
@@ -11,7 +12,9 @@
 // oracle holds what callers were told and what upstreams saw. Its checks are
 // the properties as users state them and know nothing of the implementation.
 type oracle struct {
-	failf func(format string, args ...any)
+	fail func(args ...any)
+	// trace holds what happened, for the report of a failure.
+	trace []string
 	// arrivals counts the dispatches of each call at its upstream.
 	arrivals map[ident.CallID]int
 	// once holds the calls that must not be repeated.
@@ -26,9 +29,9 @@
 	spent map[ident.ProgramID]unit.Calls
 }
 
-func newOracle(failf func(string, ...any)) *oracle {
+func newOracle(fail func(...any)) *oracle {
 	return &oracle{
-		failf:    failf,
+		fail:     fail,
 		arrivals: map[ident.CallID]int{},
 		once:     map[ident.CallID]bool{},
 		notRun:   map[ident.CallID]bool{},
@@ -38,6 +41,14 @@
 	}
 }
 
+func (o *oracle) notef(format string, args ...any) {
+	o.trace = append(o.trace, fmt.Sprintf(format, args...))
+}
+
+func (o *oracle) failf(format string, args ...any) {
+	o.fail(fmt.Sprintf(format, args...) + "\n" + strings.Join(o.trace, "\n"))
+}
+
 func (o *oracle) arrive(id ident.ProgramID, call ident.CallID, position ident.Position, budget unit.Calls) {
 	o.arrivals[call]++
 	o.spent[id.Root()]++
--- a/internal/nodetest/properties_test.go
+++ b/internal/nodetest/properties_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +21,7 @@
 // set SPUR_RAPID_SEED, SPUR_RAPID_CHECKS and SPUR_RAPID_STEPS.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, fallback := range map[string]string{"seed": "20261204", "checks": "300", "steps": "60"} {
+	for name, fallback := range map[string]string{"seed": "20261204", "checks": "300", "steps": "120"} {
 		value := os.Getenv("SPUR_RAPID_" + map[string]string{"seed": "SEED", "checks": "CHECKS", "steps": "STEPS"}[name])
 		if value == "" {
 			value = fallback
@@ -41,11 +43,11 @@
 // answers or applies writes late.
 var _ = ginkgo.It("keeps order, history, budget, at-most-once and true refusals under faults", func() {
 	rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
-		o := newOracle(t.Fatalf)
+		o := newOracle(t.Fatal)
 		w := newWorld(o)
 		t.Repeat(w.actions())
 		w.heal()
-		w.checkHistories(t.Fatalf)
+		w.checkHistories()
 	})
 })
 
@@ -88,18 +90,32 @@
 	pass := func(t *rapid.T) {
 		w.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "tenths")) * 100 * time.Millisecond)
 	}
+	show := func(t *rapid.T) {
+		w.show(rapid.SampledFrom(w.clients).Draw(t, "client").program, w.nodes[anyNode(t)])
+	}
+	faults := map[string]func(*node){
+		"crash":        func(n *node) { w.crash(n) },
+		"freeze":       func(n *node) { n.frozen = true },
+		"unfreeze":     func(n *node) { n.frozen = false },
+		"unfreeze all": func(*node) { w.unfreeze() },
+		"outage":       func(*node) { w.platform.outage = true },
+		"restored":     func(*node) { w.platform.outage = false },
+		"back":         func(*node) { w.platform.outage = false },
+		"lose":         func(*node) { w.platform.lost++ },
+		"delay":        func(*node) { w.platform.dropped++ },
+		"arrive":       func(*node) { w.platform.arrive() },
+	}
+	names := slices.Sorted(maps.Keys(faults))
+	fault := func(t *rapid.T) {
+		name, n := rapid.SampledFrom(names).Draw(t, "fault"), w.nodes[anyNode(t)]
+		w.oracle.notef("%s: %s", name, n.vm)
+		faults[name](n)
+	}
 	return map[string]func(*rapid.T){
-		"send": send, "send again": send, "work": work, "work on": work, "work more": work,
-		"run": run, "run on": run, "pass": pass, "pass on": pass,
-		"crash":  func(t *rapid.T) { w.crash(anyNode(t)) },
-		"freeze": func(t *rapid.T) { n := w.nodes[anyNode(t)]; n.frozen = !n.frozen },
-		"outage": func(*rapid.T) { w.platform.outage = !w.platform.outage },
-		"lose":   func(*rapid.T) { w.platform.lost++ },
-		"delay":  func(*rapid.T) { w.platform.dropped++ },
-		"arrive": func(*rapid.T) { w.platform.arrive() },
-		"show": func(t *rapid.T) {
-			w.show(w.clients[rapid.IntRange(0, len(w.clients)-1).Draw(t, "client")].program, w.nodes[anyNode(t)])
-		},
+		"send": send, "send again": send,
+		"work": work, "work on": work, "work more": work, "work still": work,
+		"run": run, "pass": pass, "pass on": pass,
+		"show": show, "fault": fault,
 	}
 }
 
@@ -128,20 +144,24 @@
 // heal ends all faults and lets the nodes recover.
 func (w *world) heal() {
 	w.platform.outage, w.platform.lost, w.platform.dropped = false, 0, 0
+	w.unfreeze()
+	w.advance(30 * time.Second)
+}
+
+func (w *world) unfreeze() {
 	for _, n := range w.nodes {
 		n.frozen = false
 	}
-	w.advance(30 * time.Second)
 }
 
-func (w *world) checkHistories(failf func(string, ...any)) {
+func (w *world) checkHistories() {
 	for _, c := range w.clients {
 		answer := w.request(func(t ident.Ticket) message.Message {
 			return message.ShowProgram{Ticket: t, Program: c.program, Team: "team"}
 		})
 		shown, ok := answer.(outcome.Shown)
 		if !ok {
-			failf("property 2: program %s can't be shown after all faults ended", c.program)
+			w.oracle.failf("property 2: program %s can't be shown after all faults ended", c.program)
 			return
 		}
 		w.oracle.compare(shown.View.State)
--- a/internal/nodetest/worker_test.go
+++ b/internal/nodetest/worker_test.go
@@ -10,6 +10,7 @@
 
 // proceed goes on with a worker when its request was answered.
 func (w *world) proceed(k *worker, answer outcome.Outcome) {
+	w.oracle.notef("worker of %s on %s in stage %d gets %T", k.call.id, k.node.vm, k.stage, answer)
 	refused, isRefused := answer.(outcome.Refused)
 	switch {
 	case k.stage == waitsForIntent && !isRefused:
@@ -50,16 +51,14 @@
 // filter does.
 func (w *world) withdraw(k *worker) {
 	err := failure.New(failure.PlatformUnavailable, "withdrawn")
-	err.NotRun = k.run.Fresh
+	err.NotRun = k.run.Fresh && k.node.snapshot().Holds(k.client.program, k.run.Epoch, w.clock.Now())
 	k.node.handle(message.CallWithdrawn{Program: k.client.program, Call: k.call.id, Attempt: k.run.Attempt, Err: err})
 	w.refused(k.client, k.call, err)
 }
 
 // check looks at the lease, which is the last thing before the dispatch.
 func (w *world) check(k *worker) {
-	s := k.node.snapshot()
-	_, owner, _ := s.Owner(k.client.program)
-	if w.clock.Now().Before(s.LeaseUntil) && owner.VM == k.node.vm && owner.Epoch == k.run.Epoch {
+	if k.node.snapshot().Holds(k.client.program, k.run.Epoch, w.clock.Now()) {
 		k.stage = checked
 		return
 	}
@@ -76,6 +75,7 @@
 
 // dispatch sends the call to its upstream, which answers or breaks.
 func (w *world) dispatch(k *worker, breaks bool) {
+	w.oracle.notef("%s dispatches %s (breaks: %v)", k.node.vm, k.call.id, breaks)
 	w.oracle.arrive(k.client.program, k.call.id, k.call.position, budgetCalls)
 	id, run := k.client.program, k.run
 	switch {
--- a/internal/nodetest/world_test.go
+++ b/internal/nodetest/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -133,6 +134,7 @@
 // advance lets time pass in small steps, so that nodes act when they asked to.
 func (w *world) advance(d time.Duration) {
 	const slice = 100 * time.Millisecond
+	w.oracle.notef("%v pass", d)
 	for passed := time.Duration(0); passed < d; passed += slice {
 		w.clock.Advance(slice)
 		w.settle()
@@ -140,9 +142,8 @@
 }
 
 // crash replaces a node's process by a new one; its workers are gone.
-func (w *world) crash(i int) {
-	old := w.nodes[i]
-	w.nodes[i] = w.start(old.vm)
+func (w *world) crash(old *node) {
+	w.nodes[slices.Index(w.nodes, old)] = w.start(old.vm)
 	var kept []*worker
 	for _, k := range w.workers {
 		if k.node != old {
@@ -180,6 +181,7 @@
 			Request: record.Request{Call: sent.id, Position: sent.position},
 		}
 	})
+	w.oracle.notef("%s sends %+v to %s", c.program, sent, n.vm)
 	c.waits = append(c.waits, pendingCall{node: n, ticket: ticket, call: sent})
 	w.collect()
 }
@@ -206,6 +208,7 @@
 }
 
 func (w *world) answered(c *client, p pendingCall, answer outcome.Outcome) {
+	w.oracle.notef("%s answers %s with %T", p.node.vm, p.call.id, answer)
 	switch answer := answer.(type) {
 	case outcome.Run:
 		k := &worker{node: p.node, client: c, call: p.call, run: answer, stage: ready}
@@ -232,6 +235,7 @@
 }
 
 func (w *world) refused(c *client, k call, err *failure.Error) {
+	w.oracle.notef("call %s is refused: %v (not run: %v)", k.id, err, err.NotRun)
 	if err.NotRun {
 		w.oracle.refusedNotRun(k.id)
 		if c.current != nil && c.current.id == k.id {
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -30,9 +30,11 @@
 
 	leaseUntil time.Time
 	expireAt   time.Time
-	shards     map[ident.Shard]*shard
-	waits      map[message.Token]wait
-	lastToken  message.Token
+	// applied is the journal position up to which all records are applied.
+	applied   ident.Sequence
+	shards    map[ident.Shard]*shard
+	waits     map[message.Token]wait
+	lastToken message.Token
 }
 
 // shard is a shard that the node serves.
@@ -159,6 +161,8 @@
 		return s.resolve(m)
 	case message.LookedUp:
 		return s.lookedUp(m)
+	case message.Joined:
+		s.applied = m.Node.Head
 	case message.Durable:
 		return s.durable(now, m)
 	case message.LeaseChanged:
--- a/internal/sequencer/shard.go
+++ b/internal/sequencer/shard.go
@@ -91,15 +91,15 @@
 	return effects
 }
 
-// checkpoint hands a copy of the shard's durable state to the journal. The
-// committer sets the journal position that the copy covers.
+// checkpoint hands a copy of the shard's durable state to the journal, with the
+// journal position that the copy covers.
 func (s *Sequencer) checkpoint(on *shard) effect.Effect {
 	on.checkpointing = true
 	on.pending++
 	row := on.row
 	unchanged := on.sinceCheckpoint == 0 && len(row.Spans) == 0 && row.Checkpoint != ""
 	on.sinceCheckpoint = 0
-	row.Shard, row.Epoch, row.Spans = on.id, on.epoch, nil
+	row.Shard, row.Epoch, row.Covered, row.Spans = on.id, on.epoch, s.applied, nil
 	c := &message.Checkpoint{}
 	if !unchanged {
 		row.Checkpoint = fmt.Sprintf("checkpoint/%d/%d-%d", on.id, on.epoch, row.Version+1)
--- a/internal/sequencer/waits.go
+++ b/internal/sequencer/waits.go
@@ -71,22 +71,57 @@
 func (w ending) subject() ident.ProgramID          { return w.record.Program }
 func (w checkpointing) subject() ident.ProgramID   { return "" }
 
-// durable applies records that are durable now and goes on with what waited.
+// durable applies the records of a commit and goes on with what waited for
+// them. All are applied before anything goes on: a checkpoint that is taken then
+// must hold every record up to the commit's journal position.
 func (s *Sequencer) durable(now time.Time, m message.Durable) []effect.Effect {
-	w, ok := s.waits[m.Token]
-	if !ok {
-		return nil
+	var done []wait
+	for _, token := range m.Tokens {
+		w, ok := s.waits[token]
+		if !ok {
+			continue
+		}
+		delete(s.waits, token)
+		done = append(done, w)
+		s.apply(w)
+	}
+	s.applied = m.Head
+	var effects []effect.Effect
+	for _, w := range done {
+		if c, ok := w.(checkpointing); ok {
+			effects = append(effects, s.checkpointDone(c)...)
+			continue
+		}
+		on := s.shards[w.subject().Shard(s.count)]
+		on.pending--
+		on.sinceCheckpoint++
+		effects = append(effects, s.proceed(now, on, w)...)
+		effects = append(effects, s.checkpointIfDue(on)...)
+		effects = append(effects, s.drain(on)...)
 	}
-	delete(s.waits, m.Token)
-	if c, ok := w.(checkpointing); ok {
-		return s.checkpointDone(c)
+	return effects
+}
+
+// apply changes the durable state by the record that was awaited.
+func (s *Sequencer) apply(w wait) {
+	var written record.Record
+	switch w := w.(type) {
+	case extension:
+		written = w.record
+	case acknowledgement:
+		written = w.record
+	case completion:
+		written = w.record
+	case resolution:
+		written = w.record
+	case opening:
+		written = w.record
+	case ending:
+		written = w.record
+	case checkpointing:
+		return
 	}
-	on := s.shards[w.subject().Shard(s.count)]
-	on.pending--
-	on.sinceCheckpoint++
-	effects := s.proceed(now, on, w)
-	effects = append(effects, s.checkpointIfDue(on)...)
-	return append(effects, s.drain(on)...)
+	s.shards[w.subject().Shard(s.count)].programs.Apply(written)
 }
 
 func (s *Sequencer) proceed(now time.Time, on *shard, w wait) []effect.Effect {
@@ -94,21 +129,17 @@
 	case extension:
 		return s.extended(now, on, w)
 	case acknowledgement:
-		on.programs.Apply(w.record)
 		root := on.activity(w.record.Subject().Root())
 		root.reserved = subtract(root.reserved, w.release)
 		return append(one(answer(w.ticket, outcome.Durable{})), s.intended(now, on, w.record)...)
 	case completion:
 		return s.completed(now, on, w)
 	case resolution:
-		on.programs.Apply(w.record)
 		s.settle(on, w.record)
 		return one(answer(w.ticket, outcome.Durable{}))
 	case opening:
-		on.programs.Apply(w.record)
 		return one(answer(w.ticket, outcome.Opened{Program: w.record.Program}))
 	case ending:
-		on.programs.Apply(w.record)
 		on.activity(w.record.Program).ending = false
 		effects := one(answer(w.ticket, outcome.Ended{Program: w.record.Program}))
 		return append(effects, s.releases(on, w.record.Program.Root())...)
@@ -142,16 +173,19 @@
 // extended starts the call that waited for a larger allowance. If its caller
 // has gone in the meantime, nobody would dispatch it, so that it is withdrawn.
 func (s *Sequencer) extended(now time.Time, on *shard, w extension) []effect.Effect {
-	on.programs.Apply(w.record)
 	state, activity := on.programs[w.program], on.activity(w.program)
 	r := activity.running
 	if r == nil || r.started {
 		return nil
 	}
-	if r.arrived.Ticket != 0 && !state.Ended {
+	held := now.Before(s.leaseUntil)
+	if r.arrived.Ticket != 0 && !state.Ended && held {
 		return one(s.start(on, state, activity))
 	}
-	refused := s.turnAway(r.arrived, activity, failure.ProgramEnded, "program %s has ended; open a new one", w.program)
+	refused := refuse(r.arrived.Ticket, notDurable())
+	if held {
+		refused = s.turnAway(r.arrived, activity, failure.ProgramEnded, "program %s has ended; open a new one", w.program)
+	}
 	effects := s.finish(now, on, state, activity, func(ticket ident.Ticket) effect.Effect {
 		err := failure.New(failure.Overloaded, "the call was withdrawn before its dispatch; repeat it with the same call id")
 		err.RetryAfter = backoff
@@ -161,7 +195,6 @@
 }
 
 func (s *Sequencer) completed(now time.Time, on *shard, w completion) []effect.Effect {
-	on.programs.Apply(w.record)
 	state, activity := on.programs[w.record.Program], on.activity(w.record.Program)
 	delete(activity.attempts, w.record.Request.Call)
 	effects := one(answer(w.ticket, outcome.Durable{}))
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -58,3 +58,10 @@
 	}
 	return cluster.Node{}, owner, false
 }
+
+// Holds reports whether the node owns a program's shard under an epoch and has
+// a valid lease. Without that, another node may run the program's calls.
+func (s *Snapshot) Holds(p ident.ProgramID, epoch ident.Epoch, now time.Time) bool {
+	node, owner, known := s.Owner(p)
+	return known && node.VM == s.Self.VM && owner.Epoch == epoch && now.Before(s.LeaseUntil)
+}
