design: HTTP services for callers and operators

The front end and the command line need one description of the services, so that both are generated from it. Measured: goa gen, build, vet and the linter pass on the result.

--- /dev/null
+++ b/design/operators.go
@@ -0,0 +1,180 @@
+package design
+
+import (
+	. "goa.design/goa/v3/dsl"
+)
+
+var address = Type("Address", func() {
+	Attribute("address", String, "IP address and port")
+	Attribute("region", String)
+	Attribute("domain", String, "Failure domain")
+	Attribute("weight", Float64, "Share of callers that get this address first")
+	Required("address", "region", "domain", "weight")
+})
+
+var _ = Service("addresses", func() {
+	Description("Addresses of entry VMs for callers")
+	common()
+
+	Method("list", func() {
+		Payload(func() {
+			token()
+			Attribute("account", String, "Account whose order is asked for; the credential's own if empty", func() { MaxLength(128) })
+		})
+		Result(func() {
+			Attribute("addresses", ArrayOf(address))
+			Attribute("retention_seconds", Int64, "How long the list may be cached")
+			Required("addresses", "retention_seconds")
+		})
+		HTTP(func() {
+			GET("/addresses")
+			Param("account")
+			Response(StatusOK)
+		})
+	})
+})
+
+var teamChange = Type("TeamChange", func() {
+	Attribute("team", String, "Team that is affected; empty for all teams")
+	Attribute("change", String)
+	Required("team", "change")
+})
+
+var plan = Type("Plan", func() {
+	Attribute("plan", String)
+	Attribute("status", String, func() { Enum("open", "confirmed") })
+	Attribute("base_version", UInt64, "Version of the configuration from which the plan was computed")
+	Attribute("new_version", UInt64, "Version that the plan creates when it is confirmed")
+	Attribute("steps", ArrayOf(String))
+	Attribute("changes", ArrayOf(teamChange))
+	Attribute("costs", ArrayOf(String), "What the plan interrupts or costs")
+	Attribute("not_promised", ArrayOf(String), "What the plan can't promise")
+	Required("plan", "status", "base_version", "new_version", "steps", "changes", "costs", "not_promised")
+})
+
+func planPath() {
+	Attribute("plan", String, func() { Pattern(planPattern) })
+}
+
+var _ = Service("plans", func() {
+	Description("Plans of operators")
+	common()
+
+	Method("create", func() {
+		Payload(func() {
+			token()
+			Attribute("intent", String, "Intent in TOML", func() { MinLength(1) })
+			Required("intent")
+		})
+		Result(plan)
+		HTTP(func() {
+			POST("/plans")
+			Response(StatusCreated)
+		})
+	})
+
+	Method("show", func() {
+		Payload(func() {
+			token()
+			planPath()
+			Required("plan")
+		})
+		Result(plan)
+		HTTP(func() {
+			GET("/plans/{plan}")
+			Response(StatusOK)
+		})
+	})
+
+	Method("confirm", func() {
+		Payload(func() {
+			token()
+			planPath()
+			Required("plan")
+		})
+		Result(plan)
+		HTTP(func() {
+			POST("/plans/{plan}/confirm")
+			Response(StatusOK)
+		})
+	})
+})
+
+var upstream = Type("Upstream", func() {
+	Attribute("upstream", String)
+	Attribute("pool", String)
+	Attribute("team", String)
+	Attribute("address", String)
+	Attribute("region", String)
+	Attribute("domain", String)
+	Attribute("slots", Int)
+	Attribute("drain", Boolean, "True if an operator asked that no new work be sent")
+	Attribute("leaving", Boolean, "True if the upstream is shutting down")
+	Attribute("usable", Boolean, "True if this node sends work to it")
+	Attribute("in_flight", Int, "Calls of this node on the upstream")
+	Attribute("limit", Int, "Calls that this node may have on the upstream")
+	Required("upstream", "pool", "team", "address", "region", "domain", "slots", "drain", "leaving", "usable", "in_flight", "limit")
+})
+
+var vm = Type("VM", func() {
+	Attribute("vm", String)
+	Attribute("state", String, "live, leaving or closed")
+	Attribute("incarnation", UInt64)
+	Attribute("address", String, "Address for callers")
+	Attribute("region", String)
+	Attribute("domain", String)
+	Attribute("shards", Int, "Shards that the VM owns")
+	Required("vm", "state", "incarnation", "address", "region", "domain", "shards")
+})
+
+var _ = Service("status", func() {
+	Description("State of the system as the answering node sees it")
+	common()
+
+	Method("show", func() {
+		Payload(func() { token() })
+		Result(func() {
+			Attribute("vm", String)
+			Attribute("incarnation", UInt64)
+			Attribute("state", String)
+			Attribute("draining", Boolean)
+			Attribute("lease_ms", Int64, "Time left on the node's lease; 0 if it has expired")
+			Attribute("configuration_version", UInt64)
+			Attribute("configuration_plan", String)
+			Attribute("configuration_fresh", Boolean, "True if the configuration is fresh enough for new work")
+			Attribute("configuration_age_ms", Int64)
+			Attribute("shards", Int, "Shards in the assignment")
+			Attribute("shards_owned", Int)
+			Attribute("shards_serving", Int)
+			Attribute("vms_live", Int)
+			Attribute("vms_leaving", Int)
+			Attribute("upstreams", Int)
+			Attribute("upstreams_usable", Int)
+			Required("vm", "incarnation", "state", "draining", "lease_ms", "configuration_version", "configuration_plan",
+				"configuration_fresh", "configuration_age_ms", "shards", "shards_owned", "shards_serving", "vms_live",
+				"vms_leaving", "upstreams", "upstreams_usable")
+		})
+		HTTP(func() {
+			GET("/status")
+			Response(StatusOK)
+		})
+	})
+
+	Method("upstreams", func() {
+		Payload(func() { token() })
+		Result(ArrayOf(upstream))
+		HTTP(func() {
+			GET("/upstreams")
+			Response(StatusOK)
+		})
+	})
+
+	Method("vms", func() {
+		Payload(func() { token() })
+		Result(ArrayOf(vm))
+		HTTP(func() {
+			GET("/vms")
+			Response(StatusOK)
+		})
+	})
+})
