front: HTTP front end on top of the chain

Callers and operators reach the chain through generated services; the front only decodes, checks the order of events and encodes. Ruled out: ending a stream silently on a count that does not match, since a caller would take it for whole.

--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,180 @@
+// Package front has the HTTP front end on top of the chain.
+//
+// It decodes requests, passes them to the chain and encodes the outcome.
+// Decisions are made elsewhere, so that another front end can use the same
+// chain.
+package front
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rs/zerolog"
+	goahttp "goa.design/goa/v3/http"
+	"goa.design/goa/v3/security"
+
+	"github.com/sassafrasspur/sassafrasspur/gen/addresses"
+	addressserver "github.com/sassafrasspur/sassafrasspur/gen/http/addresses/server"
+	planserver "github.com/sassafrasspur/sassafrasspur/gen/http/plans/server"
+	programserver "github.com/sassafrasspur/sassafrasspur/gen/http/programs/server"
+	statusserver "github.com/sassafrasspur/sassafrasspur/gen/http/status/server"
+	"github.com/sassafrasspur/sassafrasspur/gen/plans"
+	"github.com/sassafrasspur/sassafrasspur/gen/programs"
+	"github.com/sassafrasspur/sassafrasspur/gen/status"
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/planner"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+// DefaultMaxBody is the largest request body that is read by default.
+const DefaultMaxBody unit.Bytes = 1 << 20
+
+// Plans stores plans and confirms them. Errors have a kind of package failure.
+type Plans interface {
+	Create(ctx context.Context, intent string) (planner.Plan, error)
+	// Show returns a plan and whether it is confirmed.
+	Show(ctx context.Context, id ident.PlanID) (planner.Plan, bool, error)
+	Confirm(ctx context.Context, id ident.PlanID) (planner.Plan, error)
+}
+
+// Front serves the HTTP interface.
+type Front struct {
+	serve     chain.Handler
+	identify  chain.Handler
+	snapshots func() *snapshot.Snapshot
+	plans     Plans
+	timers    *timer.Service
+	addresser *addresser.Addresser
+	maxBody   unit.Bytes
+	free      func() map[ident.VMID]unit.Ratio
+	orders    func(context.Context, planner.Order) error
+	log       zerolog.Logger
+}
+
+// Option changes how New builds a Front.
+type Option func(*Front)
+
+// WithMaxBody sets the largest request body that is read.
+func WithMaxBody(n unit.Bytes) Option {
+	return func(f *Front) { f.maxBody = n }
+}
+
+// WithFreeCapacity sets the source of the free part of each node's capacity.
+// Without it all nodes count as free.
+func WithFreeCapacity(free func() map[ident.VMID]unit.Ratio) Option {
+	return func(f *Front) { f.free = free }
+}
+
+// WithOrders sets what carries out the orders to upstreams of a confirmed plan.
+// Without it, plans with such orders are refused.
+func WithOrders(carryOut func(context.Context, planner.Order) error) Option {
+	return func(f *Front) { f.orders = carryOut }
+}
+
+// WithLog sets the log. Without it nothing is logged.
+func WithLog(log zerolog.Logger) Option {
+	return func(f *Front) { f.log = log }
+}
+
+// New returns a front end. Requests about programs pass through serve, which is
+// the whole chain. All others pass through identify, which is a chain of the
+// identify filter alone: it sets the exchange's account from its credential.
+func New(
+	serve, identify chain.Handler,
+	snapshots func() *snapshot.Snapshot,
+	stored Plans,
+	timers *timer.Service,
+	chooser *addresser.Addresser,
+	options ...Option,
+) *Front {
+	f := &Front{
+		serve:     serve,
+		identify:  identify,
+		snapshots: snapshots,
+		plans:     stored,
+		timers:    timers,
+		addresser: chooser,
+		maxBody:   DefaultMaxBody,
+		free:      func() map[ident.VMID]unit.Ratio { return nil },
+		log:       zerolog.Nop(),
+	}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Handler returns the handler of all services.
+func (f *Front) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	decode, encode := f.decoder, encoder
+	addressserver.Mount(mux, addressserver.New(addresses.NewEndpoints(&addressService{f}), mux, decode, encode, f.encodingFailed, format))
+	programserver.Mount(mux, programserver.New(programs.NewEndpoints(&programService{f}), mux, decode, encode, f.encodingFailed, format))
+	planserver.Mount(mux, planserver.New(plans.NewEndpoints(&planService{f}), mux, decode, encode, f.encodingFailed, format))
+	statusserver.Mount(mux, statusserver.New(status.NewEndpoints(&statusService{f}), mux, decode, encode, f.encodingFailed, format))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Callers that keep connections to a leaving node would not ask for
+		// another address before the node closes them.
+		if s := f.snapshots(); s != nil && s.Draining {
+			w.Header().Set("Connection", "close")
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, int64(f.maxBody))
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// credentialKey is the context key of the credential.
+type credentialKey struct{}
+
+// JWTAuth keeps the credential for the identify filter. The name is given by
+// the generated code; the credential is opaque here.
+func (f *Front) JWTAuth(ctx context.Context, token string, _ *security.JWTScheme) (context.Context, error) {
+	if token == "" {
+		return ctx, asProblem(failure.Refusal(failure.Unauthorized, 0, "the request has no credential; send the header Authorization: Bearer TOKEN"))
+	}
+	return context.WithValue(ctx, credentialKey{}, token), nil
+}
+
+func credential(ctx context.Context) string {
+	token, _ := ctx.Value(credentialKey{}).(string)
+	return token
+}
+
+// account identifies who made a request that does not pass the whole chain.
+func (f *Front) account(ctx context.Context) (chain.Account, error) {
+	x := &chain.Exchange{Credential: credential(ctx)}
+	if err := f.identify(ctx, x); err != nil {
+		return chain.Account{}, asProblem(err)
+	}
+	return x.Account, nil
+}
+
+// operator refuses accounts that are not operators.
+func (f *Front) operator(ctx context.Context) error {
+	account, err := f.account(ctx)
+	if err != nil {
+		return err
+	}
+	if account.Role != chain.Operator {
+		return asProblem(failure.Refusal(failure.Forbidden, 0, "account %s is not an operator; use the credential of an operator account", account.ID))
+	}
+	return nil
+}
+
+// current returns the snapshot, or a refusal while there is none.
+func (f *Front) current() (*snapshot.Snapshot, error) {
+	s := f.snapshots()
+	if s == nil || s.Configuration == nil {
+		return nil, asProblem(failure.Refusal(failure.ConfigurationStale, startupRetry, "the node has not read the configuration yet; repeat the request later or at another address"))
+	}
+	return s, nil
+}
+
+func (f *Front) encodingFailed(_ context.Context, _ http.ResponseWriter, err error) {
+	f.log.Warn().Err(err).Msg("response not sent")
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,213 @@
+package front_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/tools/txtar"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/front"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/planner"
+	"github.com/sassafrasspur/sassafrasspur/internal/program"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Front")
+}
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// script is a chain that does what the lines of a golden file say.
+type script struct {
+	lines []string
+	seen  strings.Builder
+}
+
+func (s *script) serve(_ context.Context, x *chain.Exchange) error {
+	fmt.Fprintf(&s.seen, "chain: %s %T%+v\n", x.Credential, x.Request, x.Request)
+	for _, line := range s.lines {
+		verb, rest, _ := strings.Cut(line, " ")
+		if err := step(x, verb, rest); err != nil {
+			fmt.Fprintf(&s.seen, "chain: %s: %v\n", verb, err)
+			return err
+		}
+	}
+	return nil
+}
+
+func step(x *chain.Exchange, verb, rest string) error {
+	words := strings.Fields(rest)
+	number := func(i int) int {
+		n, err := strconv.Atoi(words[i])
+		Expect(err).NotTo(HaveOccurred())
+		return n
+	}
+	switch verb {
+	case "chunk":
+		return x.Sink.Chunk(number(0), strings.Join(words[1:], " ")+" ")
+	case "void":
+		return x.Sink.Void()
+	case "end":
+		return x.Sink.End(chain.End{
+			Call: ident.CallID(words[0]), Attempt: 1, Chunks: number(1),
+			Answer: record.Answer{Body: strings.Join(words[2:], " "), Usage: record.Usage{Calls: 1, PromptTokens: 7, OutputTokens: 3}},
+		})
+	case "fail":
+		return &failure.Error{Kind: failure.Kind(words[0]), NotRun: words[1] == "true", RetryAfter: time.Duration(number(2)) * time.Millisecond, Message: strings.Join(words[3:], " ")}
+	case "break":
+		return fmt.Errorf("%s", rest)
+	case "show":
+		x.Reply = outcome.Shown{View: program.View{
+			State: program.State{
+				ID: "trip-1.1", Team: "desk", Class: "fast",
+				Turns: []program.Turn{{Call: "a", Position: 1, Pool: "chat", Body: "hi", Attempt: 1, Answer: record.Answer{Body: "hello"}}},
+				Calls: map[ident.CallID]program.Call{"a": {Status: program.Done}, "b": {Position: 2, Status: program.Unknown, Attempt: 2, Upstream: "u1"}},
+			},
+			Root: program.State{Budget: record.Budget{Calls: 9, Tokens: 900, Expires: start}, Spent: record.Allowance{Calls: 1, Tokens: 10}, Allowance: record.Allowance{Calls: 4, Tokens: 400}},
+		}}
+	}
+	return nil
+}
+
+func identify(_ context.Context, x *chain.Exchange) error {
+	switch x.Credential {
+	case "op":
+		x.Account = chain.Account{ID: "olive", Role: chain.Operator}
+	case "t":
+		x.Account = chain.Account{ID: "tess", Team: "desk", Role: chain.Caller}
+	default:
+		return failure.Refusal(failure.Unauthorized, 0, "the credential is not known; ask an operator for one")
+	}
+	return nil
+}
+
+// stored is a store with two plans: "good" and "stale".
+type stored struct{}
+
+func (stored) Create(_ context.Context, intent string) (planner.Plan, error) {
+	return planner.Plan{ID: "good", Base: 4, Steps: []string{intent}, Changes: []planner.Change{{Team: "desk", Text: "more"}}}, nil
+}
+
+func (stored) Show(_ context.Context, id ident.PlanID) (planner.Plan, bool, error) {
+	switch id {
+	case "good":
+		return planner.Plan{ID: id, Base: 4, Orders: []planner.Order{planner.ResolveOrder{Program: "trip-1", Call: "a", Ran: true, Answer: "ok"}}}, false, nil
+	case "load":
+		return planner.Plan{ID: id, Orders: []planner.Order{planner.LoadOrder{Upstream: "u1", Model: "m"}}}, false, nil
+	case "stale":
+		return planner.Plan{ID: id, Base: 3}, false, nil
+	}
+	return planner.Plan{}, false, failure.Refusal(failure.NotFound, 0, "there is no plan %s; create one", id)
+}
+
+func (s stored) Confirm(ctx context.Context, id ident.PlanID) (planner.Plan, error) {
+	if id == "stale" {
+		return planner.Plan{}, failure.Refusal(failure.PlanStale, 0, "version 4 is in force; create the plan again")
+	}
+	plan, _, err := s.Show(ctx, id)
+	return plan, err
+}
+
+func view(draining bool) *snapshot.Snapshot {
+	node := func(vm ident.VMID, state cluster.NodeState, domain ident.Domain) cluster.Node {
+		return cluster.Node{VM: vm, Incarnation: 1, State: state, CallerAddress: string(vm) + ":80", Region: "noord", Domain: domain}
+	}
+	return &snapshot.Snapshot{
+		Self: node("a", cluster.Live, "n1"), LeaseUntil: start.Add(4 * time.Second), Draining: draining, Serving: 2,
+		Configuration:      &configuration.Configuration{Version: 4, Plan: "p", Upstreams: []configuration.Upstream{{ID: "u1", Pool: "chat", Team: "desk", Address: "u:1", Slots: 4}}},
+		ConfigurationUntil: start.Add(time.Second), ConfigurationAsOf: start.Add(-time.Second),
+		Assignment:    cluster.Assignment{Owners: []cluster.Owner{{VM: "a", Incarnation: 1}, {VM: "b", Incarnation: 1}, {VM: "a", Incarnation: 1}}},
+		Nodes:         []cluster.Node{node("a", cluster.Live, "n1"), node("b", cluster.Live, "n2"), node("c", cluster.Leaving, "n2"), node("d", cluster.Closed, "n2")},
+		Leaving:       []ident.UpstreamID{"u1"},
+		UpstreamLoads: []snapshot.UpstreamLoad{{Upstream: "u1", InFlight: 1, Limit: 2, Usable: true}},
+	}
+}
+
+// run sends the request of one golden step and returns what was seen.
+func run(name, request, lines string) string {
+	s := &script{lines: strings.Split(strings.TrimSpace(lines), "\n")}
+	f := front.New(s.serve, identify, func() *snapshot.Snapshot {
+		if strings.Contains(name, "starting") {
+			return nil
+		}
+		return view(strings.Contains(name, "draining"))
+	}, stored{}, timer.New(timer.WithManual(timer.NewManual(start))), addresser.New(), front.WithMaxBody(512))
+	head, body, _ := strings.Cut(request, "\n\n")
+	first, headers, _ := strings.Cut(head, "\n")
+	method, path, _ := strings.Cut(strings.TrimSpace(first), " ")
+	r := httptest.NewRequest(method, path, strings.NewReader(strings.TrimSpace(body)))
+	for header := range strings.Lines(headers) {
+		key, value, _ := strings.Cut(strings.TrimSpace(header), ": ")
+		r.Header.Set(key, value)
+	}
+	w := httptest.NewRecorder()
+	f.Handler().ServeHTTP(w, r)
+	answer := w.Result()
+	fmt.Fprintf(&s.seen, "%d %s\n", answer.StatusCode, http.StatusText(answer.StatusCode))
+	for _, key := range []string{"Content-Type", "Retry-After", "Connection"} {
+		if value := answer.Header.Get(key); value != "" {
+			fmt.Fprintf(&s.seen, "%s: %s\n", key, value)
+		}
+	}
+	return s.seen.String() + "\n" + strings.TrimRight(w.Body.String(), "\n") + "\n"
+}
+
+// The sessions guard against requests that reach the chain altered, errors
+// without kind or remedy, and answers that look whole but are not.
+var _ = Describe("a session", func() {
+	files, _ := filepath.Glob("testdata/*.txtar")
+	for _, file := range files {
+		It("of "+filepath.Base(file), func() {
+			archive, err := txtar.ParseFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			var lines string
+			var out []txtar.File
+			for i, f := range archive.Files {
+				if strings.HasPrefix(f.Name, "answer") {
+					continue
+				}
+				out = append(out, f)
+				if strings.HasPrefix(f.Name, "chain") {
+					lines = string(f.Data)
+					continue
+				}
+				got := run(f.Name, string(f.Data), lines)
+				lines = ""
+				name := strings.Replace(f.Name, "request", "answer", 1)
+				out = append(out, txtar.File{Name: name, Data: []byte(got)})
+				if !*update {
+					Expect(i+1).To(BeNumerically("<", len(archive.Files)), "no answer to "+f.Name)
+					Expect(got).To(Equal(string(archive.Files[i+1].Data)), f.Name)
+				}
+			}
+			if *update {
+				archive.Files = out
+				Expect(os.WriteFile(file, txtar.Format(archive), 0o600)).To(Succeed())
+			}
+		})
+	}
+})
