intentparser: read operators' intents from TOML

Operators write intents by hand, so that a misspelled key must not be ignored. All errors of a text are collected with their lines. The library's positions of values were ruled out: the golden file showed line 28 for a value on line 16, because it finds a value by the name of its key.

--- /dev/null
+++ b/internal/intentparser/intentparser.go
@@ -0,0 +1,163 @@
+// Package intentparser reads intents from TOML.
+//
+// A text has a table [[intent]] for each intent, in the order in which they
+// apply. The key kind says what is wanted; the other keys depend on it:
+//
+//	[[intent]]
+//	kind = "create_loan"
+//	upstream = "u1"
+//	borrower = "permits"
+//	share = 0.25
+//	reclaim = "2s"
+package intentparser
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/intent"
+)
+
+// Error is an error at a place in the text.
+type Error struct {
+	// Line counts from 1; 0 if it is not known.
+	Line    int
+	Message string
+}
+
+// Error returns the line and the message.
+func (e *Error) Error() string { return fmt.Sprintf("line %d: %s", e.Line, e.Message) }
+
+// List is the list of errors of one text, in the order of their lines.
+type List []*Error
+
+// Error returns all errors, one in a line.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, e := range l {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap makes the list an error of the kind failure.InvalidRequest.
+func (l List) Unwrap() error {
+	return failure.Refusal(failure.InvalidRequest, 0, "the intent has errors:\n%s", l.Error())
+}
+
+func (l *List) add(line int, format string, args ...any) {
+	*l = append(*l, &Error{Line: line, Message: fmt.Sprintf(format, args...)})
+}
+
+// Parse reads intents. Its error is a List.
+func Parse(text string) (intent.Batch, error) {
+	var errs List
+	var document map[string]toml.Primitive
+	meta, err := toml.Decode(text, &document)
+	if err != nil {
+		errs.add(lineOf(err, 0), "%s; correct the TOML", messageOf(err))
+		return intent.Batch{}, errs
+	}
+	positions := scan(text)
+	for key := range document {
+		if key != "intent" {
+			errs.add(positions.top[key], "unknown key %q; put every intent in a table [[intent]]", key)
+		}
+	}
+	var tables []map[string]toml.Primitive
+	if primitive, ok := document["intent"]; ok {
+		if err := meta.PrimitiveDecode(primitive, &tables); err != nil {
+			errs.add(positions.top["intent"], "intent is no array of tables; write [[intent]]")
+		}
+	}
+	var batch intent.Batch
+	for i, table := range tables {
+		if wanted := parseTable(meta, table, positions.table(i), &errs); wanted != nil {
+			batch.Intents = append(batch.Intents, wanted)
+		}
+	}
+	if len(tables) == 0 && len(errs) == 0 {
+		errs.add(1, "the text has no intent; add a table [[intent]]")
+	}
+	if len(errs) > 0 {
+		slices.SortStableFunc(errs, func(a, b *Error) int {
+			if a.Line != b.Line {
+				return a.Line - b.Line
+			}
+			return strings.Compare(a.Message, b.Message)
+		})
+		return intent.Batch{}, errs
+	}
+	return batch, nil
+}
+
+// parseTable reads one intent. It returns nil if it added errors.
+func parseTable(meta toml.MetaData, table map[string]toml.Primitive, at place, errs *List) intent.Intent {
+	before := len(*errs)
+	var r raw
+	read := func(key string) {
+		if err := meta.PrimitiveDecode(table[key], r.target(key)); err != nil {
+			errs.add(at.line(key), "the value of %s does not fit: %s; correct the value", key, messageOf(err))
+		}
+	}
+	if _, ok := table["kind"]; !ok {
+		errs.add(at.header, "the intent has no kind; use one of %s", strings.Join(kinds(), ", "))
+		return nil
+	}
+	read("kind")
+	known, ok := specs[r.Kind]
+	if len(*errs) == before && !ok {
+		errs.add(at.line("kind"), "unknown kind %q; use one of %s", r.Kind, strings.Join(kinds(), ", "))
+	}
+	if len(*errs) > before {
+		return nil
+	}
+	for key := range table {
+		switch {
+		case key == "kind":
+		case slices.Contains(known.required, key) || slices.Contains(known.optional, key):
+			read(key)
+		default:
+			errs.add(at.line(key), "unknown key %q of %s; use %s", key, r.Kind, strings.Join(slices.Concat(known.required, known.optional), ", "))
+		}
+	}
+	for _, key := range known.required {
+		if _, ok := table[key]; !ok {
+			errs.add(at.header, "%s needs the key %s; add it", r.Kind, key)
+		}
+	}
+	if len(*errs) > before {
+		return nil
+	}
+	return known.build(r)
+}
+
+func lineOf(err error, otherwise int) int {
+	var parsing toml.ParseError
+	if errors.As(err, &parsing) {
+		return parsing.Position.Line
+	}
+	return otherwise
+}
+
+// messageOf returns the message of an error without its position. The library
+// finds the position of a value by the name of its key, which is that of the
+// last table when several tables have the key.
+func messageOf(err error) string {
+	message := err.Error()
+	var parsing toml.ParseError
+	if errors.As(err, &parsing) && parsing.Message != "" {
+		message = parsing.Message
+	}
+	if _, rest, ok := strings.Cut(message, "(last key "); ok {
+		if _, reason, ok := strings.Cut(rest, "): "); ok {
+			return reason
+		}
+	}
+	return strings.TrimPrefix(message, "toml: ")
+}
