confirmer: store plans and confirm them in one transaction

Two operators may race, and answers of the table can be lost. The configuration is read before the plan's row; the other order was ruled out by a test in which it calls a confirmed plan stale.

--- /dev/null
+++ b/internal/confirmer/confirmer.go
@@ -0,0 +1,273 @@
+// Package confirmer stores plans and confirms them.
+//
+// A confirmation is one transaction: it replaces the configuration's row if its
+// version is still the plan's base, and marks the plan's row. Of two plans with
+// the same base one wins; the other one is stale.
+package confirmer
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/intentparser"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/planner"
+	"github.com/sassafrasspur/sassafrasspur/internal/table"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+// Table is the platform's table.
+type Table interface {
+	// Get returns a row and whether there is one.
+	Get(ctx context.Context, kind, key string) (table.Row, bool, error)
+	// Commit writes all rows or none.
+	Commit(ctx context.Context, writes []table.Write) message.Verdict
+}
+
+// Confirmer stores plans and confirms them.
+type Confirmer struct {
+	table   Table
+	planner planner.Planner
+	newID   func() string
+	timers  *timer.Service
+	pause   time.Duration
+	tries   int
+}
+
+// Option changes how New builds a Confirmer.
+type Option func(*Confirmer)
+
+// WithIDs sets the source of plan ids, which must be unique.
+func WithIDs(newID func() string) Option {
+	return func(c *Confirmer) { c.newID = newID }
+}
+
+// WithRetries sets how often an uncertain write is tried and the pause between
+// the tries. A pause of 0 is no pause.
+func WithRetries(tries int, pause time.Duration) Option {
+	return func(c *Confirmer) { c.tries, c.pause = tries, pause }
+}
+
+// New returns a Confirmer.
+func New(t Table, timers *timer.Service, options ...Option) *Confirmer {
+	c := &Confirmer{table: t, timers: timers, newID: uuid.NewString, pause: 200 * time.Millisecond, tries: 5}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// stored is the body of a plan's row. The new configuration and the orders are
+// not stored: they are computed again from the base and the intent. This halves
+// the row.
+type stored struct {
+	Plan   planner.Plan `json:"plan"`
+	Intent string       `json:"intent"`
+	// Base is the configuration from which the plan was computed.
+	Base *configuration.Configuration `json:"base"`
+	// Digest is the hash of the new configuration. It tells if another release
+	// would compute another one.
+	Digest    uint64 `json:"digest"`
+	Confirmed bool   `json:"confirmed"`
+}
+
+// Create computes the plan of an intent in TOML and stores it.
+func (c *Confirmer) Create(ctx context.Context, text string) (planner.Plan, error) {
+	current, err := c.current(ctx)
+	if err != nil {
+		return planner.Plan{}, err
+	}
+	s := stored{Plan: planner.Plan{ID: ident.PlanID(c.newID())}, Intent: text, Base: current}
+	plan, err := c.compute(s)
+	if err != nil {
+		return planner.Plan{}, err
+	}
+	s.Plan, s.Digest = plan, digest(plan.Next)
+	return plan, c.store(ctx, s)
+}
+
+// store writes the row of a new plan.
+func (c *Confirmer) store(ctx context.Context, s stored) error {
+	write := planWrite(s, 0, "create-")
+	for try := range c.tries {
+		if err := c.wait(ctx, try); err != nil {
+			return err
+		}
+		if c.table.Commit(ctx, []table.Write{write}) == message.Committed {
+			return nil
+		}
+		// The id is new, so that only this write can have made the row.
+		if row, ok, err := c.table.Get(ctx, write.Kind, write.Key); err == nil && ok && row.WriteID == write.WriteID {
+			return nil
+		}
+	}
+	return failure.New(failure.PlatformUnavailable, "plan %s was perhaps not stored; create the plan again, which changes nothing else", s.Plan.ID)
+}
+
+// Show returns a plan and whether it is confirmed.
+func (c *Confirmer) Show(ctx context.Context, id ident.PlanID) (planner.Plan, bool, error) {
+	s, _, err := c.load(ctx, id)
+	if err != nil {
+		return planner.Plan{}, false, err
+	}
+	plan, err := c.compute(s)
+	return plan, s.Confirmed, err
+}
+
+// Confirm puts a plan in force. A plan that is confirmed already is returned
+// again. Errors of a plan whose base was replaced have the kind
+// failure.PlanStale.
+func (c *Confirmer) Confirm(ctx context.Context, id ident.PlanID) (planner.Plan, error) {
+	var last error
+	uncertain := false
+	for try := range c.tries {
+		if err := c.wait(ctx, try); err != nil {
+			return planner.Plan{}, err
+		}
+		plan, verdict, err := c.confirmOnce(ctx, id)
+		switch {
+		case err == nil && verdict == message.Committed:
+			return plan, nil
+		case err != nil && !failure.From(err).Is(failure.PlatformUnavailable):
+			return planner.Plan{}, err
+		case err != nil:
+			last = err
+		case verdict == message.Uncertain:
+			uncertain = true
+		}
+	}
+	if last != nil && !uncertain {
+		return planner.Plan{}, last
+	}
+	return planner.Plan{}, failure.New(failure.PlatformUnavailable, "it is not known whether plan %s is confirmed; confirm it again, which confirms it at most once", id)
+}
+
+// confirmOnce reads where the plan stands and tries to confirm it if it is open.
+func (c *Confirmer) confirmOnce(ctx context.Context, id ident.PlanID) (planner.Plan, message.Verdict, error) {
+	// The configuration is read first. If it is not the base any more, then
+	// this plan's transaction is decided, and the plan's row, which is read
+	// later, shows how.
+	current, err := c.current(ctx)
+	if err != nil {
+		return planner.Plan{}, "", err
+	}
+	s, version, err := c.load(ctx, id)
+	if err != nil {
+		return planner.Plan{}, "", err
+	}
+	plan, err := c.compute(s)
+	if err != nil {
+		return planner.Plan{}, "", err
+	}
+	if s.Confirmed || current.Plan == id {
+		return plan, message.Committed, nil
+	}
+	if current.Version != s.Base.Version {
+		return planner.Plan{}, "", stale(s.Base, current)
+	}
+	if digest(plan.Next) != s.Digest {
+		return planner.Plan{}, "", failure.Refusal(failure.PlanStale, 0, "plan %s was computed by another release, which differs; create the plan again", id)
+	}
+	body, err := json.Marshal(plan.Next)
+	if err != nil {
+		return planner.Plan{}, "", err
+	}
+	s.Confirmed = true
+	writes := []table.Write{
+		{Kind: table.ConfigurationKind, Key: table.CurrentKey, Expect: current.Version, WriteID: ident.WriteID("confirm-" + id), Body: body},
+		planWrite(s, version, "confirm-"),
+	}
+	return plan, c.table.Commit(ctx, writes), nil
+}
+
+// wait pauses before a repeat.
+func (c *Confirmer) wait(ctx context.Context, try int) error {
+	if try == 0 || c.pause == 0 {
+		return ctx.Err()
+	}
+	subscription := c.timers.After(c.pause)
+	defer subscription.Cancel()
+	select {
+	case <-subscription.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// current returns the configuration in force. Its version is that of the row.
+func (c *Confirmer) current(ctx context.Context) (*configuration.Configuration, error) {
+	row, ok, err := c.table.Get(ctx, table.ConfigurationKind, table.CurrentKey)
+	if err != nil {
+		return nil, unread(err)
+	}
+	current := &configuration.Configuration{}
+	if ok {
+		if err := json.Unmarshal(row.Body, current); err != nil {
+			return nil, failure.New(failure.Internal, "the configuration's row can't be decoded: %v; restore it from the last plan", err)
+		}
+	}
+	current.Version = row.Version
+	return current, nil
+}
+
+func (c *Confirmer) load(ctx context.Context, id ident.PlanID) (stored, ident.Version, error) {
+	row, ok, err := c.table.Get(ctx, table.PlanKind, string(id))
+	if err != nil {
+		return stored{}, 0, unread(err)
+	}
+	if !ok {
+		return stored{}, 0, failure.Refusal(failure.NotFound, 0, "there is no plan %s; check the id or create a plan", id)
+	}
+	var s stored
+	if err := json.Unmarshal(row.Body, &s); err != nil {
+		return stored{}, 0, failure.New(failure.Internal, "the row of plan %s can't be decoded: %v; create the plan again", id, err)
+	}
+	return s, row.Version, nil
+}
+
+// compute computes a stored plan again.
+func (c *Confirmer) compute(s stored) (planner.Plan, error) {
+	wanted, err := intentparser.Parse(s.Intent)
+	if err != nil {
+		return planner.Plan{}, err
+	}
+	plan, err := c.planner.Plan(s.Base, wanted)
+	if err != nil {
+		return planner.Plan{}, err
+	}
+	plan.ID = s.Plan.ID
+	plan.Next.Plan = plan.ID
+	return plan, nil
+}
+
+func planWrite(s stored, expect ident.Version, prefix ident.WriteID) table.Write {
+	// The types of stored have no values that can't be encoded.
+	body, _ := json.Marshal(s)
+	return table.Write{Kind: table.PlanKind, Key: string(s.Plan.ID), Expect: expect, WriteID: prefix + ident.WriteID(s.Plan.ID), Body: body}
+}
+
+func digest(c *configuration.Configuration) uint64 {
+	body, _ := json.Marshal(c)
+	return xxhash.Sum64(body)
+}
+
+func stale(base, current *configuration.Configuration) error {
+	words := strings.Join(planner.Difference(base, current), "; ")
+	if words == "" {
+		words = "nothing but the version"
+	}
+	return failure.Refusal(failure.PlanStale, 0, "the plan was computed from version %d and version %d is in force; changed since then: %s; create the plan again", base.Version, current.Version, words)
+}
+
+func unread(err error) error {
+	return failure.Refusal(failure.PlatformUnavailable, time.Second, "the platform's table can't be read (%v); repeat the request later", err)
+}
--- /dev/null
+++ b/internal/confirmer/confirmer_test.go
@@ -0,0 +1,250 @@
+package confirmer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/confirmer"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/planner"
+	"github.com/sassafrasspur/sassafrasspur/internal/table"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+// platform is a table that loses answers, delays writes and fails reads as the
+// drawn faults say. before runs ahead of each access, so that another operator
+// acts between two accesses of the first.
+type platform struct {
+	rows    map[string]table.Row
+	delayed [][]table.Write
+	faults  func(name string, count int) int
+	before  func()
+	// confirmed lists the plans of the configuration's versions.
+	confirmed []ident.Version
+}
+
+func (p *platform) Get(_ context.Context, kind, key string) (table.Row, bool, error) {
+	p.before()
+	if p.faults("read", 6) == 1 {
+		return table.Row{}, false, errors.New("no answer")
+	}
+	row, ok := p.rows[kind+"/"+key]
+	return row, ok, nil
+}
+
+func (p *platform) Commit(_ context.Context, writes []table.Write) message.Verdict {
+	p.before()
+	switch p.faults("write", 6) {
+	case 1:
+		p.apply(writes)
+		return message.Uncertain
+	case 2:
+		p.delayed = append(p.delayed, writes)
+		return message.Uncertain
+	case 3:
+		return message.Uncertain
+	}
+	return p.apply(writes)
+}
+
+func (p *platform) apply(writes []table.Write) message.Verdict {
+	for _, w := range writes {
+		if p.rows[w.Kind+"/"+w.Key].Version != w.Expect {
+			return message.Conflict
+		}
+	}
+	for _, w := range writes {
+		p.rows[w.Kind+"/"+w.Key] = table.Row{Kind: w.Kind, Key: w.Key, Version: w.Expect + 1, WriteID: w.WriteID, Body: w.Body}
+		if w.Kind == table.ConfigurationKind {
+			p.confirmed = append(p.confirmed, w.Expect+1)
+		}
+	}
+	return message.Committed
+}
+
+func (p *platform) flush() {
+	for _, writes := range p.delayed {
+		p.apply(writes)
+	}
+	p.delayed = nil
+}
+
+func newConfirmer(p *platform) *confirmer.Confirmer {
+	next := 0
+	return confirmer.New(p, timer.New(), confirmer.WithRetries(3, 0), confirmer.WithIDs(func() string {
+		next++
+		return fmt.Sprint("plan-", next)
+	}))
+}
+
+func team(id string) string {
+	return fmt.Sprintf("[[intent]]\nkind = \"create_team\"\nid = %q\nmax_tokens = 1\nmax_calls = 1\n", id)
+}
+
+// Guards against two plans of one version that both take effect, a confirmation
+// that is reported wrongly after a lost answer, and a version that goes back.
+func TestRacingConfirmations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		ctx := context.Background()
+		quiet := true
+		p := &platform{rows: map[string]table.Row{}, before: func() {}}
+		p.faults = func(name string, count int) int {
+			if quiet {
+				return 0
+			}
+			return rapid.IntRange(0, count).Draw(t, name)
+		}
+		c := newConfirmer(p)
+		const rounds = 3
+		for round := range rounds {
+			var plans []ident.PlanID
+			for i := range rapid.IntRange(2, 3).Draw(t, "plans") {
+				plan, err := c.Create(ctx, team(fmt.Sprintf("team-%d-%d", round, i)))
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(plan.Base).To(Equal(ident.Version(round)))
+				plans = append(plans, plan.ID)
+			}
+			quiet = false
+			results := map[ident.PlanID]error{}
+			depth := 0
+			confirm := func() {
+				id := rapid.SampledFrom(plans).Draw(t, "plan")
+				_, err := c.Confirm(ctx, id)
+				if previous, ok := results[id]; !ok || previous != nil && failure.From(previous).Is(failure.PlatformUnavailable) {
+					results[id] = err
+				} else if previous == nil && err != nil {
+					g.Expect(failure.From(err).Kind).To(Equal(failure.PlatformUnavailable), "a confirmed plan was refused")
+				}
+			}
+			p.before = func() {
+				if rapid.IntRange(0, 5).Draw(t, "flush") == 0 {
+					p.flush()
+				}
+				if depth < 1 && rapid.IntRange(0, 3).Draw(t, "race") == 0 {
+					depth++
+					confirm()
+					depth--
+				}
+			}
+			for range rapid.IntRange(1, 4).Draw(t, "confirmations") {
+				confirm()
+			}
+			p.before = func() {}
+			quiet = true
+			p.flush()
+			g.Expect(winners(g, c, plans, results)).To(Equal(1))
+			for i, version := range p.confirmed {
+				g.Expect(version).To(Equal(ident.Version(i + 1)))
+			}
+			g.Expect(p.confirmed).To(HaveLen(round + 1))
+		}
+	})
+}
+
+// winners confirms all plans of one version again and compares with what their
+// first confirmations were told.
+func winners(g Gomega, c *confirmer.Confirmer, plans []ident.PlanID, results map[ident.PlanID]error) int {
+	count := 0
+	for _, id := range plans {
+		_, err := c.Confirm(context.Background(), id)
+		previous, tried := results[id]
+		if err == nil {
+			count++
+			g.Expect(!tried || previous == nil || failure.From(previous).Is(failure.PlatformUnavailable)).To(BeTrue(), "%s won but was told %v", id, previous)
+		} else {
+			g.Expect(failure.From(err).Kind).To(Equal(failure.PlanStale))
+			g.Expect(failure.From(err).Message).To(MatchRegexp(`team team-\d-\d was created`))
+			g.Expect(tried && previous == nil).To(BeFalse(), "%s lost but was told that it is confirmed", id)
+		}
+		_, confirmed, showErr := c.Show(context.Background(), id)
+		g.Expect(showErr).NotTo(HaveOccurred())
+		g.Expect(confirmed).To(Equal(err == nil))
+	}
+	return count
+}
+
+// Guards against a confirmed plan that is called stale because its write was
+// late and a later plan was confirmed before the result was read.
+func TestConfirmWithSuccessor(t *testing.T) {
+	for moment := 4; moment <= 6; moment++ {
+		g := NewWithT(t)
+		ctx := context.Background()
+		late := true
+		p := &platform{rows: map[string]table.Row{}, before: func() {}}
+		p.faults = func(name string, _ int) int {
+			if name == "write" && late {
+				return 2
+			}
+			return 0
+		}
+		c := newConfirmer(p)
+		late = false
+		first, err := c.Create(ctx, team("first"))
+		g.Expect(err).NotTo(HaveOccurred())
+		late = true
+		accesses := 0
+		p.before = func() {
+			accesses++
+			if accesses != moment {
+				return
+			}
+			late = false
+			p.flush()
+			second, err := c.Create(ctx, team("second"))
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = c.Confirm(ctx, second.ID)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		_, err = c.Confirm(ctx, first.ID)
+		g.Expect(err).NotTo(HaveOccurred(), "successor before access %d", moment)
+	}
+}
+
+// Guards against a plan that is stored twice, or reported as not stored, after
+// a lost answer.
+func TestCreateAfterLostAnswer(t *testing.T) {
+	for fault := range 4 {
+		g := NewWithT(t)
+		p := &platform{rows: map[string]table.Row{}, before: func() {}}
+		writes := 0
+		p.faults = func(name string, _ int) int {
+			if name == "write" {
+				writes++
+				if writes == 1 {
+					return fault
+				}
+			}
+			return 0
+		}
+		var plan planner.Plan
+		plan, err := newConfirmer(p).Create(context.Background(), team("desk"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.rows).To(HaveLen(1))
+		g.Expect(p.rows).To(HaveKey(table.PlanKind + "/" + string(plan.ID)))
+	}
+}
+
+// Guards against an error in an intent that is stored, and against errors
+// without a kind.
+func TestCreateRefusals(t *testing.T) {
+	g := NewWithT(t)
+	p := &platform{rows: map[string]table.Row{}, before: func() {}, faults: func(string, int) int { return 0 }}
+	c := newConfirmer(p)
+	_, err := c.Create(context.Background(), "[[intent]]\nkind = \"nothing\"")
+	g.Expect(failure.From(err).Kind).To(Equal(failure.InvalidRequest))
+	g.Expect(failure.From(err).Message).To(ContainSubstring("line 2: unknown kind"))
+	_, err = c.Confirm(context.Background(), "none")
+	g.Expect(failure.From(err).Kind).To(Equal(failure.NotFound))
+	g.Expect(p.rows).To(BeEmpty())
+	p.faults = func(string, int) int { return 1 }
+	_, err = c.Confirm(context.Background(), "none")
+	g.Expect(failure.From(err).Kind).To(Equal(failure.PlatformUnavailable))
+}
