--- /dev/null
+++ b/internal/printer/printer.go
@@ -0,0 +1,262 @@
+// Package printer writes results for people, or as the JSON of the API.
+package printer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/sassafrasspur/sassafrasspur/gen/addresses"
+	addressserver "github.com/sassafrasspur/sassafrasspur/gen/http/addresses/server"
+	planserver "github.com/sassafrasspur/sassafrasspur/gen/http/plans/server"
+	programserver "github.com/sassafrasspur/sassafrasspur/gen/http/programs/server"
+	statusserver "github.com/sassafrasspur/sassafrasspur/gen/http/status/server"
+	"github.com/sassafrasspur/sassafrasspur/gen/plans"
+	"github.com/sassafrasspur/sassafrasspur/gen/programs"
+	"github.com/sassafrasspur/sassafrasspur/gen/status"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+)
+
+// Printer writes results.
+type Printer struct {
+	out  io.Writer
+	json bool
+	// answer holds the text of a call until its end marker: chunks that become
+	// void can't be taken back from a terminal or a pipe.
+	answer strings.Builder
+}
+
+// Option changes how New builds a Printer.
+type Option func(*Printer)
+
+// WithJSON makes the printer write JSON, one value in a line.
+func WithJSON() Option {
+	return func(p *Printer) { p.json = true }
+}
+
+// New returns a printer that writes text to out.
+func New(out io.Writer, options ...Option) *Printer {
+	p := &Printer{out: out}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+func (p *Printer) encode(v any) error {
+	encoder := json.NewEncoder(p.out)
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(v)
+}
+
+// rows writes a table; the first row is its header.
+func (p *Printer) rows(rows [][]any) error {
+	w := tabwriter.NewWriter(p.out, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = fmt.Sprint(cell)
+			if cells[i] == "" {
+				cells[i] = "-"
+			}
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return w.Flush()
+}
+
+// Addresses writes addresses.
+func (p *Printer) Addresses(list *addresses.ListResult) error {
+	if p.json {
+		return p.encode(addressserver.NewListResponseBody(list))
+	}
+	rows := [][]any{{"ADDRESS", "REGION", "DOMAIN", "WEIGHT"}}
+	for _, a := range list.Addresses {
+		rows = append(rows, []any{a.Address, a.Region, a.Domain, fmt.Sprintf("%.3f", a.Weight)})
+	}
+	if err := p.rows(rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(p.out, "valid for %d s\n", list.RetentionSeconds)
+	return err
+}
+
+// Reference writes the id of a program and what was done with it.
+func (p *Printer) Reference(done string, ref *programs.ProgramRef) error {
+	if p.json {
+		return p.encode(programserver.NewOpenResponseBody(ref))
+	}
+	_, err := fmt.Fprintf(p.out, "%s %s\n", done, ref.Program)
+	return err
+}
+
+// Event writes an event of a call. As text, the whole answer is written at the
+// end marker.
+func (p *Printer) Event(event *programs.Event) error {
+	if p.json {
+		return p.encode(programserver.NewCallResponseBody(event))
+	}
+	switch event.Event {
+	case "chunk":
+		p.answer.WriteString(*event.Text)
+	case "void":
+		p.answer.Reset()
+	case "end":
+		_, err := fmt.Fprintln(p.out, p.answer.String())
+		return err
+	}
+	return nil
+}
+
+// Program writes a program.
+func (p *Printer) Program(v *programs.Program) error {
+	if p.json {
+		return p.encode(programserver.NewShowResponseBody(v))
+	}
+	state := "open"
+	switch {
+	case v.Ended:
+		state = "ended: " + v.Reason
+	case v.Running:
+		state = "running"
+	}
+	err := p.rows([][]any{
+		{"program", v.Program},
+		{"state", state},
+		{"team", v.Team},
+		{"class", v.Class},
+		{"budget", fmt.Sprintf("%d calls, %d tokens, until %s", v.Budget.Calls, v.Budget.Tokens, v.Budget.Expires)},
+		{"spent", fmt.Sprintf("%d calls, %d tokens", v.Spent.Calls, v.Spent.Tokens)},
+		{"allowance", fmt.Sprintf("%d calls, %d tokens", v.Allowance.Calls, v.Allowance.Tokens)},
+	})
+	if err != nil {
+		return err
+	}
+	rows := [][]any{{"POSITION", "CALL", "POOL", "OPERATION", "STATUS", "ATTEMPT", "TOKENS", "UPSTREAM"}}
+	for _, t := range v.Turns {
+		status := "done"
+		if t.Failed {
+			status = "failed"
+		}
+		rows = append(rows, []any{t.Position, t.CallID, t.Pool, t.Operation, status, t.Attempt, t.Usage.PromptTokens + t.Usage.OutputTokens, ""})
+	}
+	for _, o := range v.OpenCalls {
+		rows = append(rows, []any{o.Position, o.CallID, "", "", o.Status, o.Attempt, "", o.Upstream})
+	}
+	return p.rows(rows)
+}
+
+// Plan writes a plan.
+func (p *Printer) Plan(v *plans.Plan) error {
+	if p.json {
+		return p.encode(planserver.NewShowResponseBody(v))
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "plan %s (%s): version %d becomes %d\n", v.Plan, v.Status, v.BaseVersion, v.NewVersion)
+	section := func(title string, lines []string) {
+		if len(lines) == 0 {
+			return
+		}
+		fmt.Fprintf(&b, "\n%s:\n", title)
+		for _, line := range lines {
+			fmt.Fprintf(&b, "  - %s\n", line)
+		}
+	}
+	section("Steps", v.Steps)
+	var changes []string
+	for _, c := range v.Changes {
+		team := "all teams"
+		if c.Team != "" {
+			team = "team " + c.Team
+		}
+		changes = append(changes, team+": "+c.Change)
+	}
+	section("Changes", changes)
+	section("Interruptions and costs", v.Costs)
+	section("Not promised", v.NotPromised)
+	if v.Status == "open" {
+		fmt.Fprintf(&b, "\nNothing has changed yet. To put it in force: sassafrasspur plan confirm %s\n", v.Plan)
+	}
+	_, err := io.WriteString(p.out, b.String())
+	return err
+}
+
+// Status writes the state of the system.
+func (p *Printer) Status(v *status.ShowResult) error {
+	if p.json {
+		return p.encode(statusserver.NewShowResponseBody(v))
+	}
+	fresh := "fresh"
+	if !v.ConfigurationFresh {
+		fresh = "too old for new work"
+	}
+	state := v.State
+	if v.Draining {
+		state += ", draining"
+	}
+	return p.rows([][]any{
+		{"vm", fmt.Sprintf("%s, incarnation %d, %s", v.VM, v.Incarnation, state)},
+		{"lease", fmt.Sprintf("%d ms left", v.LeaseMs)},
+		{"configuration", fmt.Sprintf("version %d of plan %q, %s, read %d ms ago", v.ConfigurationVersion, v.ConfigurationPlan, fresh, v.ConfigurationAgeMs)},
+		{"shards", fmt.Sprintf("%d, of which %d owned and %d served here", v.Shards, v.ShardsOwned, v.ShardsServing)},
+		{"vms", fmt.Sprintf("%d live, %d leaving", v.VmsLive, v.VmsLeaving)},
+		{"upstreams", fmt.Sprintf("%d, of which %d usable", v.Upstreams, v.UpstreamsUsable)},
+	})
+}
+
+// Upstreams writes upstreams.
+func (p *Printer) Upstreams(list []*status.Upstream) error {
+	if p.json {
+		return p.encode(statusserver.NewUpstreamsResponseBody(list))
+	}
+	rows := [][]any{{"UPSTREAM", "POOL", "TEAM", "ADDRESS", "REGION", "DOMAIN", "SLOTS", "IN FLIGHT", "LIMIT", "STATE"}}
+	for _, u := range list {
+		state := "usable"
+		switch {
+		case u.Leaving:
+			state = "leaving"
+		case u.Drain:
+			state = "draining"
+		case !u.Usable:
+			state = "not usable"
+		}
+		rows = append(rows, []any{u.Upstream, u.Pool, u.Team, u.Address, u.Region, u.Domain, u.Slots, u.InFlight, u.Limit, state})
+	}
+	return p.rows(rows)
+}
+
+// VMs writes entry VMs.
+func (p *Printer) VMs(list []*status.VM) error {
+	if p.json {
+		return p.encode(statusserver.NewVmsResponseBody(list))
+	}
+	rows := [][]any{{"VM", "STATE", "INCARNATION", "ADDRESS", "REGION", "DOMAIN", "SHARDS"}}
+	for _, v := range list {
+		rows = append(rows, []any{v.VM, v.State, v.Incarnation, v.Address, v.Region, v.Domain, v.Shards})
+	}
+	return p.rows(rows)
+}
+
+// Failure writes an error.
+func (p *Printer) Failure(err error) {
+	known := failure.From(err)
+	if p.json {
+		_ = p.encode(struct {
+			Kind         string `json:"kind"`
+			Message      string `json:"message"`
+			NotRun       bool   `json:"not_run"`
+			RetryAfterMs int64  `json:"retry_after_ms"`
+		}{string(known.Kind), known.Message, known.NotRun, known.RetryAfter.Milliseconds()})
+		return
+	}
+	text := fmt.Sprintf("error (%s): %s\n", known.Kind, known.Message)
+	if known.NotRun {
+		text += "The request has not run and will not run.\n"
+	}
+	if known.RetryAfter > 0 {
+		text += fmt.Sprintf("Repeat it after %s.\n", known.RetryAfter)
+	}
+	_, _ = io.WriteString(p.out, text)
+}
