cmd/sassafrasspur: command line for callers and operators

Callers and operators need a tool that repeats requests safely and names the remedy of every error. Golden sessions run it against the front end and against servers that break, hang, miscount or mix answers. Ruled out: flags read in library packages.

--- /dev/null
+++ b/cmd/sassafrasspur/main_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/tools/txtar"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/confirmer"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/front"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/program"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/request"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/table"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func TestCommandLine(t *testing.T) {
+	for _, variable := range []string{"SERVER", "ASK", "TOKEN"} {
+		t.Setenv("SASSAFRASSPUR_"+variable, "")
+		_ = os.Unsetenv("SASSAFRASSPUR_" + variable)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Command line")
+}
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// serve is a chain whose answer depends on the call id.
+func serve(_ context.Context, x *chain.Exchange) error {
+	switch r := x.Request.(type) {
+	case request.Call:
+		switch r.Call {
+		case "gap":
+			return failure.Refusal(failure.PositionGap, 0, "position %d came in place of 2; send position 2", r.Position)
+		case "late":
+			_ = x.Sink.Chunk(0, "hel")
+			return &failure.Error{Kind: failure.NotDurable, RetryAfter: time.Second, Message: "the answer is not durable; repeat the call"}
+		}
+		_ = x.Sink.Chunk(0, "hello ")
+		_ = x.Sink.Chunk(1, r.Body)
+		return x.Sink.End(chain.End{Call: r.Call, Attempt: 1, Chunks: 2, Answer: record.Answer{Failed: r.Call == "bad"}})
+	case request.Show:
+		x.Reply = outcome.Shown{View: program.View{State: program.State{
+			ID: r.Program, Team: "desk", Class: "fast", Ended: true, Reason: "ended by the caller",
+			Turns: []program.Turn{{Call: "a", Position: 1, Pool: "chat", Attempt: 1, Answer: record.Answer{Failed: true}}},
+			Calls: map[ident.CallID]program.Call{"b": {Position: 2, Status: program.Unknown, Attempt: 1, Upstream: "u1"}},
+		}, Root: program.State{Budget: record.Budget{Calls: 9, Expires: start}}}}
+	}
+	return nil
+}
+
+type rows map[string]table.Row
+
+func (r rows) Get(_ context.Context, kind, key string) (table.Row, bool, error) {
+	row, ok := r[kind+"/"+key]
+	return row, ok, nil
+}
+
+func (r rows) Commit(_ context.Context, writes []table.Write) message.Verdict {
+	for _, w := range writes {
+		r[w.Kind+"/"+w.Key] = table.Row{Version: w.Expect + 1, WriteID: w.WriteID, Body: w.Body}
+	}
+	return message.Committed
+}
+
+// servers starts the servers that golden files name: $A works and $C refuses
+// connections. After one chunk, $B breaks the stream, $D hangs, $E sends a wrong
+// count, $F leaves out a chunk and $G sends a chunk of another call.
+func servers() *strings.Replacer {
+	timers := timer.New(timer.WithManual(timer.NewManual(start)))
+	view := &snapshot.Snapshot{}
+	identify := func(_ context.Context, x *chain.Exchange) error {
+		x.Account = chain.Account{ID: "olive", Role: chain.Operator}
+		if x.Credential != "op" {
+			x.Account.Role = chain.Caller
+		}
+		return nil
+	}
+	plans := confirmer.New(rows{}, timers, confirmer.WithIDs(func() string { return "plan-1" }))
+	f := front.New(serve, identify, func() *snapshot.Snapshot { return view }, plans, timers, addresser.New()).Handler()
+	working := httptest.NewServer(f)
+	DeferCleanup(working.Close)
+	// faulty serves calls with the given events and then drops the connection.
+	faulty := func(events ...string) *httptest.Server {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasSuffix(r.URL.Path, "/calls") {
+				f.ServeHTTP(w, r)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Content-Type", "text/event-stream")
+			for _, event := range events {
+				if event == "hang" {
+					_ = http.NewResponseController(w).Flush()
+					<-r.Context().Done()
+					return
+				}
+				_, _ = fmt.Fprintf(w, "data: %s\n\n", event)
+				_ = http.NewResponseController(w).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		}))
+		DeferCleanup(server.Close)
+		return server
+	}
+	chunk := `{"event":"chunk","index":0,"text":"lost","call_id":"a"}`
+	breaking := faulty(chunk)
+	hanging := faulty(chunk, "hang")
+	short := faulty(chunk, `{"event":"end","call_id":"a","attempt":1,"chunks":2}`)
+	gap := faulty(chunk, `{"event":"chunk","index":2,"text":"x","call_id":"a"}`)
+	mixed := faulty(chunk, `{"event":"chunk","index":1,"text":"x","call_id":"b"}`)
+	refusing := httptest.NewServer(nil)
+	refusing.Close()
+	host := func(s *httptest.Server) string { return s.Listener.Addr().String() }
+	self := cluster.Node{VM: "vm1", Incarnation: 2, State: cluster.Live, CallerAddress: host(working), Region: "noord", Domain: "n1"}
+	*view = snapshot.Snapshot{
+		Self: self, LeaseUntil: start.Add(time.Second), ConfigurationAsOf: start,
+		Configuration: &configuration.Configuration{Version: 3, Upstreams: []configuration.Upstream{{ID: "u1", Pool: "chat", Team: "desk", Address: "10.0.0.1:80", Drain: true}}},
+	}
+	return strings.NewReplacer("$A", host(working), "$B", host(breaking), "$C", host(refusing),
+		"$D", host(hanging), "$E", host(short), "$F", host(gap), "$G", host(mixed))
+}
+
+// The sessions guard against output without a remedy, wrong exit codes, and
+// answers that are printed although they are not whole.
+var _ = Describe("a session", func() {
+	files, _ := filepath.Glob("testdata/*.txtar")
+	for _, file := range files {
+		It("of "+filepath.Base(file), func() {
+			archive, err := txtar.ParseFile(file)
+			Expect(err).NotTo(HaveOccurred())
+			names := servers()
+			back := strings.NewReplacer(names.Replace("$A"), "$A", names.Replace("$B"), "$B", names.Replace("$C"), "$C")
+			for i := 0; i+1 < len(archive.Files); i += 2 {
+				line, input, _ := strings.Cut(string(archive.Files[i].Data), "\n")
+				var out, errOut bytes.Buffer
+				code := run(context.Background(), strings.Fields(names.Replace(line)), strings.NewReader(input), &out, &errOut)
+				got := back.Replace(fmt.Sprintf("%s%sexit %d\n", out.String(), errOut.String(), code))
+				if *update {
+					archive.Files[i+1].Data = []byte(got)
+				}
+				Expect(got).To(Equal(string(archive.Files[i+1].Data)), archive.Files[i].Name)
+			}
+			if *update {
+				Expect(os.WriteFile(file, txtar.Format(archive), 0o600)).To(Succeed())
+			}
+		})
+	}
+})
