placer: controller for views, queues and grants

Cause: one owner is needed for the view of upstreams and the node's own grants. Ruled out: letting a peer's notice be passed on, because two nodes would confirm it to each other for ever.

--- /dev/null
+++ b/internal/placer/views.go
@@ -0,0 +1,137 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/limiter"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+)
+
+// read asks for the list and the loads once per interval.
+func (r *round) read() {
+	c := r.placer
+	if r.now.Before(c.nextRead) {
+		return
+	}
+	c.nextRead = r.now.Add(c.reportInterval)
+	r.changed = true
+	if c.listing.due(r.now, c.viewLimit) {
+		r.emit(effect.ListUpstreams{})
+	}
+	if c.configuration == nil {
+		return
+	}
+	for _, u := range c.configuration.Upstreams {
+		r.readLoad(c.upstreams[u.ID])
+	}
+}
+
+func (r *round) readLoad(u *upstream) {
+	if u.loading.due(r.now, r.placer.viewLimit) {
+		u.inFlightAtRead = u.inFlight
+		r.emit(effect.ReadLoad{Upstream: u.configuration.ID, Address: u.configuration.Address})
+	}
+}
+
+// configure replaces the configuration. Grants of removed upstreams stay until
+// they are returned.
+func (r *round) configure(next *configuration.Configuration) {
+	c := r.placer
+	if c.configuration != nil && next.Version <= c.configuration.Version {
+		return
+	}
+	c.configuration = next
+	c.pools = map[ident.PoolID][]*upstream{}
+	present := map[ident.UpstreamID]bool{}
+	for _, configured := range next.Upstreams {
+		present[configured.ID] = true
+		pool, _ := next.Pool(configured.Pool)
+		u, known := c.upstreams[configured.ID]
+		fresh := !known || u.configuration.Address != configured.Address
+		if fresh {
+			// A new address is a new process: its views start unknown.
+			u = newUpstream(u, r.now)
+			c.upstreams[configured.ID] = u
+		}
+		u.configuration, u.kind, u.removed = configured, pool.Kind, false
+		c.pools[configured.Pool] = append(c.pools[configured.Pool], u)
+		if fresh {
+			r.readLoad(u)
+		}
+	}
+	maps.DeleteFunc(c.upstreams, func(id ident.UpstreamID, u *upstream) bool {
+		u.removed = !present[id]
+		return u.removed && u.inFlight == 0
+	})
+	maps.DeleteFunc(c.budgets, func(k budgetKey, _ limiter.Budget) bool { return !present[k.upstream] })
+	r.changed = true
+	r.passAll()
+}
+
+func (r *round) heard(m message.PeerHeard) {
+	if m.Configuration != nil {
+		r.configure(m.Configuration)
+	}
+	for _, id := range m.Leaving {
+		u, ok := r.placer.upstreams[id]
+		if ok && !m.At.Before(u.reportedAt) && m.At.After(u.peerAt) {
+			r.changed = r.changed || !u.leaving()
+			u.peerAt = m.At
+		}
+	}
+	r.passAll()
+}
+
+func (r *round) listed(m message.UpstreamsListed) {
+	c := r.placer
+	c.listing.pending = false
+	if m.Err != nil {
+		return
+	}
+	leaving := map[string]bool{}
+	for _, state := range m.States {
+		leaving[state.Address] = state.Leaving
+	}
+	for _, u := range c.upstreams {
+		// An upstream that is not in the list keeps its old view, which ages.
+		if flag, ok := leaving[u.configuration.Address]; ok && !m.StartedAt.Before(u.listedAt) {
+			u.listedAt, u.listLeaving = m.StartedAt, flag
+		}
+	}
+	r.passAll()
+}
+
+func (r *round) reported(m message.UpstreamReported) {
+	u, ok := r.placer.upstreams[m.Upstream]
+	if !ok {
+		return
+	}
+	u.report(m)
+	r.pass(u.configuration.Pool)
+}
+
+// check updates which upstreams of a pool may get new work.
+func (r *round) check(upstreams []*upstream) {
+	for _, u := range upstreams {
+		usable := !u.leaving() && u.known(r.now, r.placer.viewLimit)
+		if usable != u.usable {
+			u.usable, r.changed = usable, true
+		}
+	}
+}
+
+func (r *round) passAll() {
+	// The order is fixed, because each pass draws random numbers.
+	for _, pool := range slices.Sorted(maps.Keys(r.placer.pools)) {
+		r.pass(pool)
+	}
+	for _, pool := range slices.Sorted(maps.Keys(r.placer.queues)) {
+		if _, ok := r.placer.pools[pool]; !ok {
+			r.pass(pool)
+		}
+	}
+}
