--- /dev/null
+++ b/internal/retainer/retainer_test.go
@@ -0,0 +1,46 @@
+package retainer_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/retainer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+func TestRetainer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retainer")
+}
+
+func decide(line string) string {
+	head, rest, _ := strings.Cut(line, "|")
+	f := goldentest.Parse(head)
+	in := retainer.Input{
+		Elapsed: f.Duration("elapsed"), Tokens: unit.Tokens(f.Int("tokens")),
+		Recompute: f.Duration("recompute"), Memory: f.Duration("memory"),
+	}
+	for part := range strings.SplitSeq(rest, "|") {
+		p := goldentest.Parse(part)
+		for range p.Int("times") {
+			in.Pauses = in.Pauses.Add(p.Duration("pause"))
+		}
+	}
+	switch d := retainer.New().Decide(in).(type) {
+	case retainer.Keep:
+		return "keep for " + d.For.String()
+	case retainer.Release:
+		return "release"
+	}
+	return "unknown decision"
+}
+
+var _ = Describe("Retainer", func() {
+	It("guards against memory held in long pauses and recomputation after short ones", func() {
+		Expect(goldentest.Check("testdata/*.txtar", decide)).To(Succeed())
+	})
+})
