standin: stand-ins of the platform, engines and services

Cause: the clients, the daemon and the test bench need outside systems that speak docs/protocols.md and fail on request. Each stand-in keeps its state as a machine without I/O that one goroutine owns; HTTP handlers decode messages and ask it. There are no tests yet.

--- /dev/null
+++ b/cmd/sassafrasspur-standin/main.go
@@ -0,0 +1,55 @@
+// Command sassafrasspur-standin runs the stand-ins of the platform, of model
+// engines and of plain services for tests and the demo.
+//
+// It prints one JSON line with its process id and its bound addresses when it
+// is ready, and stops on SIGTERM.
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/server"
+)
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	parser := flags.NewParser(nil, flags.Default)
+	parser.ShortDescription = "stand-ins of outside systems"
+	for _, c := range []struct {
+		name, summary string
+		command       any
+	}{
+		{"platform", "Run a table, an object store and a VM list", &platformCommand{}},
+		{"engine", "Run model engines", &engineCommand{}},
+		{"service", "Run plain services", &serviceCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.summary, c.summary+".", c.command); err != nil {
+			log.Fatal().Err(err).Msg("the command line is not valid")
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		var known *flags.Error
+		if errors.As(err, &known) && known.Type == flags.ErrHelp {
+			return
+		}
+		// The parser has printed the error.
+		os.Exit(1)
+	}
+}
+
+// serve announces the addresses and serves until the process is told to stop.
+func serve(s *server.Server) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := s.Announce(os.Stdout); err != nil {
+		return err
+	}
+	return s.Serve(ctx.Done())
+}
--- /dev/null
+++ b/internal/standin/batcher/step.go
@@ -0,0 +1,137 @@
+package batcher
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/cacher"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+// Tick does the decode steps and ends the waits that are due. It returns the
+// time of the next one.
+func (b *Batcher) Tick(now time.Time) time.Time {
+	for {
+		next := b.next()
+		if next.IsZero() || next.After(now) {
+			return next
+		}
+		b.advance(next)
+		b.recordLoad(next)
+	}
+}
+
+// next returns the earliest moment at which something is due.
+func (b *Batcher) next() time.Time {
+	next := b.nextStep
+	for _, deadlines := range [][]deadline{b.lingering, b.retained} {
+		if len(deadlines) > 0 && (next.IsZero() || deadlines[0].time.Before(next)) {
+			next = deadlines[0].time
+		}
+	}
+	return next
+}
+
+func (b *Batcher) advance(now time.Time) {
+	for len(b.lingering) > 0 && !b.lingering[0].time.After(now) {
+		r := b.lingering[0].request
+		b.lingering = b.lingering[1:]
+		// A stream that attached in between, and perhaps ended again, has
+		// changed unattended; its own deadline is further back in the list.
+		if !r.unattended.IsZero() && !r.unattended.Add(b.linger).After(now) && r.phase < phaseFinished {
+			b.cancel(r)
+		}
+	}
+	for len(b.retained) > 0 && !b.retained[0].time.After(now) {
+		r := b.retained[0].request
+		b.retained = b.retained[1:]
+		if b.requests[r.ID] == r {
+			delete(b.requests, r.ID)
+		}
+	}
+	if !b.nextStep.IsZero() && !b.nextStep.After(now) {
+		b.step(now)
+	}
+}
+
+// step produces one token for each request whose prefill has ended.
+func (b *Batcher) step(now time.Time) {
+	still := b.running[:0]
+	for _, r := range b.running {
+		if !r.ready.After(now) {
+			if r.produced == 0 {
+				b.cache.Store(now, r.Program, r.Prompt)
+			}
+			r.produced++
+			b.stats.OutputTokens++
+			if r.produced >= r.total {
+				b.finish(now, r)
+			}
+			r.notify()
+		}
+		if r.phase == phaseRunning {
+			still = append(still, r)
+		}
+	}
+	clear(b.running[len(still):])
+	b.running = still
+	b.schedule(now)
+}
+
+func (b *Batcher) finish(now time.Time, r *request) {
+	r.phase = phaseFinished
+	b.cache.Unpin(r.Program)
+	tokens := append(make([]cacher.Token, 0, len(r.Prompt)+int(r.total)), r.Prompt...)
+	for i := unit.Tokens(0); i < r.total; i++ {
+		tokens = append(tokens, TokenOf(Word(r.Digest, i)))
+	}
+	b.cache.Store(now, r.Program, tokens)
+	r.Prompt = nil
+	b.retained = append(b.retained, deadline{time: now.Add(b.retention), request: r})
+}
+
+// schedule fills the batch from the queue and sets the time of the next step.
+func (b *Batcher) schedule(now time.Time) {
+	for len(b.running) < b.slots && len(b.waiting) > 0 {
+		r := b.waiting[0]
+		b.waiting[0] = nil
+		b.waiting = b.waiting[1:]
+		b.start(now, r)
+	}
+	if len(b.running) == 0 {
+		b.nextStep = time.Time{}
+		return
+	}
+	earliest := b.running[0].ready
+	for _, r := range b.running {
+		if r.ready.Before(earliest) {
+			earliest = r.ready
+		}
+	}
+	b.nextStep = now.Add(b.decodeBase + time.Duration(len(b.running))*b.decodeGrowth)
+	if earliest.After(b.nextStep) {
+		b.nextStep = earliest
+	}
+}
+
+func (b *Batcher) start(now time.Time, r *request) {
+	r.phase = phaseRunning
+	r.cached = b.cache.Match(r.Program, r.Prompt)
+	b.cache.Pin(r.Program)
+	computed := unit.Tokens(len(r.Prompt)) - r.cached
+	b.stats.CachedTokens += r.cached
+	b.stats.PrefillTokens += computed
+	r.ready = now
+	if b.prefill > 0 {
+		r.ready = now.Add(time.Duration(float64(computed) / float64(b.prefill) * float64(time.Second)))
+	}
+	b.running = append(b.running, r)
+}
+
+// enqueue places a request behind those of the same or a lower priority value.
+func (b *Batcher) enqueue(r *request) {
+	i := sort.Search(len(b.waiting), func(i int) bool { return b.waiting[i].Priority > r.Priority })
+	b.waiting = append(b.waiting, nil)
+	copy(b.waiting[i+1:], b.waiting[i:])
+	b.waiting[i] = r
+}
--- /dev/null
+++ b/internal/standin/engine/completion.go
@@ -0,0 +1,213 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/batcher"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/faulter"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/replier"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+// defaultMaxTokens is the default of OpenAI's API.
+const defaultMaxTokens = 16
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Model         string            `json:"model"`
+		Prompt        string            `json:"prompt"`
+		MaxTokens     *unit.Tokens      `json:"max_tokens"`
+		Stream        bool              `json:"stream"`
+		RequestID     batcher.RequestID `json:"request_id"`
+		Priority      int               `json:"priority"`
+		CacheKey      ident.ProgramID   `json:"cache_key"`
+		ResumeFrom    *unit.Tokens      `json:"resume_from"`
+		StreamOptions struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
+	}
+	if !replier.Read(w, r, &body) {
+		return
+	}
+	if !body.Stream {
+		replier.Error(w, http.StatusBadRequest, "only streams are served; set stream to true")
+		return
+	}
+	submit := batcher.Submit{
+		ID: body.RequestID, Program: body.CacheKey, Digest: digestOf(body.Prompt),
+		MaxTokens: defaultMaxTokens, Priority: body.Priority,
+		Progress: make(chan batcher.Progress, 1),
+	}
+	if submit.ID == "" {
+		submit.ID = batcher.RequestID(uuid.NewString())
+	}
+	if submit.Program == "" {
+		submit.Program = ident.ProgramID(submit.ID)
+	}
+	if body.MaxTokens != nil {
+		submit.MaxTokens = *body.MaxTokens
+	}
+	if body.ResumeFrom != nil {
+		submit.Resume, submit.ResumeFrom = true, *body.ResumeFrom
+	}
+	if submit.MaxTokens < 1 || submit.ResumeFrom < 0 {
+		replier.Error(w, http.StatusBadRequest, "max_tokens must be above 0 and resume_from not below 0")
+		return
+	}
+	for word := range strings.FieldsSeq(body.Prompt) {
+		submit.Prompt = append(submit.Prompt, batcher.TokenOf(word))
+	}
+	e.submit(w, r, submit)
+}
+
+func (e *Engine) submit(w http.ResponseWriter, r *http.Request, submit batcher.Submit) {
+	key := string(submit.Program) + "/" + string(submit.ID)
+	verdict := e.faulter.Arrive(key)
+	switch reply := e.runner.Ask(submit).(type) {
+	case batcher.Accepted:
+		defer e.runner.Ask(batcher.Detach{ID: submit.ID, Stream: reply.Stream})
+		if reply.Started {
+			e.faulter.Run(key)
+		}
+		e.answer(w, r, verdict, stream{submit: submit, total: reply.Total})
+	case batcher.Leaving:
+		replier.Leaving(w)
+	case batcher.QueueFull:
+		replier.Full(w)
+	case batcher.RequestUnknown:
+		replier.Error(w, http.StatusNotFound, "the request is not known and can't be resumed; send it without resume_from")
+	case batcher.RequestMismatch:
+		replier.Error(w, http.StatusConflict, "the request to resume has another prompt or fewer tokens")
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// answer streams an answer unless a fault prevents it.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, verdict faulter.Verdict, s stream) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if verdict.Hang {
+		select {
+		case <-ctx.Done():
+		case <-e.closing:
+		}
+		panic(http.ErrAbortHandler)
+	}
+	if e.faulter.Delay(ctx, verdict.Delay) != nil {
+		return
+	}
+	s.w, s.verdict = w, verdict
+	s.id, s.digest = s.submit.ID, s.submit.Digest
+	if verdict.Crossed {
+		s.id, s.digest = "crossed-"+s.id, ^s.digest
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.WriteHeader(http.StatusOK)
+	s.flush()
+	s.sent = s.submit.ResumeFrom
+	for {
+		select {
+		case p := <-s.submit.Progress:
+			if e.faulter.Wait(ctx) != nil || !s.write(p) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		case <-e.closing:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// stream writes the events of one answer.
+type stream struct {
+	w       http.ResponseWriter
+	verdict faulter.Verdict
+	submit  batcher.Submit
+	id      batcher.RequestID
+	digest  batcher.Digest
+	total   unit.Tokens
+	// sent is the number of tokens that the client has.
+	sent   unit.Tokens
+	events unit.Tokens
+}
+
+// write sends the tokens that are new and reports whether more will follow. A
+// stream that ends early is closed without the last event.
+func (s *stream) write(p batcher.Progress) bool {
+	resumedAtEnd := s.sent == s.total
+	for ; s.sent < p.Produced; s.sent++ {
+		last := s.sent == s.total-1
+		if last && s.verdict.Drop {
+			panic(http.ErrAbortHandler)
+		}
+		s.event(p, []choice{{Text: batcher.Word(s.digest, s.sent) + " "}}, last)
+		if s.events++; s.verdict.BreakAfter > 0 && s.events >= s.verdict.BreakAfter {
+			s.flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	switch {
+	case p.Cancelled:
+		s.flush()
+		panic(http.ErrAbortHandler)
+	case p.Finished:
+		if resumedAtEnd {
+			s.event(p, []choice{}, true)
+		}
+		_, _ = s.w.Write([]byte("data: [DONE]\n\n"))
+	}
+	s.flush()
+	return !p.Finished
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// event writes one event; the last one carries the usage.
+func (s *stream) event(p batcher.Progress, choices []choice, last bool) {
+	body := struct {
+		ID      batcher.RequestID `json:"id"`
+		Object  string            `json:"object"`
+		Choices []choice          `json:"choices"`
+		Usage   map[string]any    `json:"usage,omitempty"`
+	}{ID: s.id, Object: "text_completion", Choices: choices}
+	if last {
+		reason := "length"
+		if s.total < s.submit.MaxTokens {
+			reason = "stop"
+		}
+		for i := range choices {
+			choices[i].FinishReason = &reason
+		}
+		body.Usage = map[string]any{
+			"prompt_tokens":         len(s.submit.Prompt),
+			"completion_tokens":     s.total,
+			"total_tokens":          unit.Tokens(len(s.submit.Prompt)) + s.total,
+			"prompt_tokens_details": map[string]any{"cached_tokens": p.Cached},
+		}
+	}
+	raw, _ := json.Marshal(body)
+	_, _ = s.w.Write([]byte("data: "))
+	_, _ = s.w.Write(append(raw, "\n\n"...))
+}
+
+func (s *stream) flush() {
+	_ = http.NewResponseController(s.w).Flush()
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.runner.Ask(batcher.Cancel{ID: batcher.RequestID(r.PathValue("request_id"))})
+	replier.JSON(w, http.StatusOK, map[string]any{})
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,202 @@
+// Package service is the stand-in of a plain service with idempotent look-ups
+// and non-idempotent filings.
+//
+// The state is a worker.Worker that one goroutine owns. A run is not stopped
+// when its client goes away, so its result can be looked up later.
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/faulter"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/replier"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/runner"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/worker"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+// Service is a plain service. It is safe for concurrent use.
+type Service struct {
+	timers    *timer.Service
+	working   []worker.Option
+	runner    *runner.Runner[worker.Command, worker.Reply]
+	faulter   *faulter.Faulter
+	handler   http.Handler
+	closing   chan struct{}
+	closeOnce sync.Once
+}
+
+// Option changes how New builds a Service.
+type Option func(*Service)
+
+func working(o worker.Option) Option {
+	return func(s *Service) { s.working = append(s.working, o) }
+}
+
+// WithTimers sets the timer service.
+func WithTimers(t *timer.Service) Option { return func(s *Service) { s.timers = t } }
+
+// WithSlots sets how many operations run side by side.
+func WithSlots(n int) Option { return working(worker.WithSlots(n)) }
+
+// WithQueue sets how many operations may wait.
+func WithQueue(n int) Option { return working(worker.WithQueue(n)) }
+
+// WithDuration sets the run time of an operation.
+func WithDuration(d time.Duration) Option { return working(worker.WithDuration(d)) }
+
+// WithLookUps names the idempotent operations; all others are filings.
+func WithLookUps(operations ...ident.Operation) Option {
+	return working(worker.WithLookUps(operations...))
+}
+
+// WithLoadLag sets the age of the load report.
+func WithLoadLag(d time.Duration) Option { return working(worker.WithLoadLag(d)) }
+
+// New starts a service. Close ends it.
+func New(options ...Option) *Service {
+	s := &Service{timers: timer.New(), closing: make(chan struct{})}
+	for _, option := range options {
+		option(s)
+	}
+	s.runner = runner.New[worker.Command, worker.Reply](worker.New(s.working...), s.timers)
+	s.faulter = faulter.New(faulter.WithTimers(s.timers), faulter.WithLeaving(func(leaving bool) {
+		s.runner.Ask(worker.SetLeaving{Leaving: leaving})
+	}))
+	mux := http.NewServeMux()
+	s.faulter.Register(mux)
+	mux.HandleFunc("POST /v1/operations/{operation}", s.operate)
+	mux.HandleFunc("GET /v1/results", s.lookUp)
+	mux.HandleFunc("GET /load", s.load)
+	s.handler = s.faulter.Filter(mux)
+	return s
+}
+
+// Handler returns the HTTP interface.
+func (s *Service) Handler() http.Handler { return s.handler }
+
+// Close ends all requests and the goroutines of the service.
+func (s *Service) Close() {
+	s.closeOnce.Do(func() { close(s.closing) })
+	s.runner.Close()
+	s.faulter.Close()
+}
+
+func (s *Service) operate(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Program ident.ProgramID `json:"program"`
+		CallID  ident.CallID    `json:"call_id"`
+		Attempt ident.Attempt   `json:"attempt"`
+		Body    json.RawMessage `json:"body"`
+	}
+	if !replier.Read(w, r, &body) {
+		return
+	}
+	// A body that is an object with reject set to true fails by the rules of
+	// the operation. Bodies of other types are accepted.
+	var rules struct {
+		Reject bool `json:"reject"`
+	}
+	_ = json.Unmarshal(body.Body, &rules)
+	key := string(body.Program) + "/" + string(body.CallID)
+	verdict := s.faulter.Arrive(key)
+	if verdict.Leaving {
+		replier.Leaving(w)
+		return
+	}
+	job := &worker.Job{
+		Program: body.Program, Call: body.CallID, Attempt: body.Attempt,
+		Operation: ident.Operation(r.PathValue("operation")),
+		Digest:    strconv.FormatUint(xxhash.Sum64(body.Body), 16),
+		Reject:    rules.Reject, Endless: verdict.Hang,
+		Started: make(chan struct{}, 1), Finished: make(chan worker.Result, 1),
+	}
+	switch s.runner.Ask(worker.Submit{Job: job}).(type) {
+	case worker.Accepted:
+		s.await(w, r, verdict, job, key)
+	case worker.QueueFull:
+		replier.Full(w)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// await waits for a run and answers unless a fault prevents it. It waits also
+// if the client has gone, so that the run is counted.
+func (s *Service) await(w http.ResponseWriter, r *http.Request, verdict faulter.Verdict, job *worker.Job, key string) {
+	select {
+	case <-job.Started:
+		s.faulter.Run(key)
+	case <-s.closing:
+		panic(http.ErrAbortHandler)
+	}
+	if job.Endless {
+		select {
+		case <-r.Context().Done():
+		case <-s.closing:
+		}
+		s.runner.Ask(worker.Abandon{Job: job})
+		panic(http.ErrAbortHandler)
+	}
+	var result worker.Result
+	select {
+	case result = <-job.Finished:
+	case <-s.closing:
+		panic(http.ErrAbortHandler)
+	}
+	if verdict.Drop || s.faulter.Delay(r.Context(), verdict.Delay) != nil || s.faulter.Wait(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if verdict.Crossed {
+		result = s.cross(result)
+	}
+	write(w, result)
+}
+
+// cross returns the result of another call, or the same one under another id
+// if there is no other call.
+func (s *Service) cross(result worker.Result) worker.Result {
+	found, _ := s.runner.Ask(worker.LookUpOther{Program: result.Program, Call: result.Call}).(worker.Found)
+	if found.Result != nil {
+		return *found.Result
+	}
+	result.Call = "crossed-" + result.Call
+	return result
+}
+
+func write(w http.ResponseWriter, result worker.Result) {
+	body := map[string]any{"program": result.Program, "call_id": result.Call, "attempt": result.Attempt}
+	if result.Error != "" {
+		body["error"] = result.Error
+		replier.JSON(w, http.StatusUnprocessableEntity, body)
+		return
+	}
+	body["result"] = result.Result
+	replier.JSON(w, http.StatusOK, body)
+}
+
+func (s *Service) lookUp(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	found, _ := s.runner.Ask(worker.LookUp{
+		Program: ident.ProgramID(query.Get("program")), Call: ident.CallID(query.Get("call_id")),
+	}).(worker.Found)
+	if found.Result == nil {
+		replier.Error(w, http.StatusNotFound, "no result is known")
+		return
+	}
+	write(w, *found.Result)
+}
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	load, _ := s.runner.Ask(worker.ReadLoad{}).(worker.Load)
+	replier.JSON(w, http.StatusOK, map[string]any{
+		"running": load.Running, "waiting": load.Waiting, "waiting_tokens": 0, "leaving": load.Leaving,
+	})
+}
