--- /dev/null
+++ b/internal/filter/dispatcher/service.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/request"
+	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
+)
+
+func (d *Dispatcher) callService(ctx context.Context, x *chain.Exchange, call request.Call) error {
+	started := d.timers.Now()
+	result, err := d.services.Call(ctx, servicecaller.Request{
+		Address:   x.Granted.Upstream.Address,
+		Operation: call.Operation,
+		Program:   call.Program,
+		Call:      call.Call,
+		Attempt:   x.Run.Attempt,
+		Body:      call.Body,
+	})
+	x.Duration = d.timers.Now().Sub(started)
+	if err != nil {
+		return d.serviceFailed(ctx, x, call, err)
+	}
+	x.Result, x.Answer = chain.Answered{}, result.Answer
+	x.FirstByte = result.FirstByte
+	x.Chunks = 1
+	return x.Sink.Chunk(0, result.Answer.Body)
+}
+
+// serviceFailed finds out whether the call may run elsewhere. A declined call
+// that has an intent is cancelled, so that it may be sent to another upstream
+// or refused as not run.
+func (d *Dispatcher) serviceFailed(ctx context.Context, x *chain.Exchange, call request.Call, err error) error {
+	var declined servicecaller.Declined
+	if errors.As(err, &declined) {
+		if !x.Repeatable {
+			if cancelled := d.cancel(ctx, x, call); cancelled != nil {
+				return cancelled
+			}
+		}
+		x.Result, x.Dispatched = chain.Declined{Leaving: declined.Leaving}, false
+		return failure.Refusal(failure.Overloaded, 0, "%v", err)
+	}
+	x.Answer = record.Answer{Usage: record.Usage{Calls: 1}}
+	if x.Repeatable {
+		x.Result = chain.Interrupted{}
+		return upstreamFailed(err)
+	}
+	x.Result = chain.Unresolved{}
+	return unknown(call.Call)
+}
