--- a/internal/standin/batcher/batcher.go
+++ b/internal/standin/batcher/batcher.go
@@ -137,6 +137,9 @@
 		stats := b.stats
 		stats.EvictedTokens = b.cache.EvictedTokens()
 		stats.Orders = append([]Order{}, stats.Orders...)
+		for _, r := range b.requests {
+			stats.Streams += len(r.streams)
+		}
 		return stats
 	}
 	return Done{}
--- a/internal/standin/batcher/reply.go
+++ b/internal/standin/batcher/reply.go
@@ -65,6 +65,8 @@
 	EvictedTokens  unit.Tokens
 	Orders         []Order
 	RejectedOrders int
+	// Streams is the number of clients that are attached now.
+	Streams int
 }
 
 func (Accepted) reply()        {}
--- /dev/null
+++ b/internal/standin/cacher/cacher_test.go
@@ -0,0 +1,85 @@
+package cacher_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/cacher"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const limit = 20
+
+// Guards against a cache that grows beyond its limit, evicts pinned programs or
+// the wrong one, or whose events do not lead to its content.
+func TestCacheAgainstOracle(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		c := cacher.New(cacher.WithLimit(limit))
+		// recent has the oracle's programs, the least recently used one first.
+		var recent []cacher.Resident
+		pinned := map[ident.ProgramID]bool{}
+		drop := func(program ident.ProgramID) {
+			recent = slices.DeleteFunc(recent, func(r cacher.Resident) bool { return r.Program == program })
+		}
+		used := func() (sum unit.Tokens) {
+			for _, r := range recent {
+				sum += r.Tokens
+			}
+			return sum
+		}
+		store := func(program ident.ProgramID, n unit.Tokens) {
+			drop(program)
+			for i := 0; i < len(recent) && used()+n > limit; {
+				if pinned[recent[i].Program] {
+					i++
+					continue
+				}
+				drop(recent[i].Program)
+			}
+			if n = min(n, limit-used()); n > 0 {
+				recent = append(recent, cacher.Resident{Program: program, Tokens: n})
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			program := ident.ProgramID(strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "program")))
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				c.Release(now, program)
+				drop(program)
+			case 1:
+				if pinned[program] {
+					c.Unpin(program)
+				} else {
+					c.Pin(program)
+				}
+				pinned[program] = !pinned[program]
+			default:
+				n := rapid.IntRange(0, limit).Draw(t, "tokens")
+				c.Store(now, program, make([]cacher.Token, n))
+				store(program, unit.Tokens(n))
+			}
+			g.Expect(used()).To(gomega.BeNumerically("<=", limit))
+		}
+		_, residents := c.Residents()
+		g.Expect(residents).To(gomega.ConsistOf(recent))
+		told := map[ident.ProgramID]unit.Tokens{}
+		for _, event := range c.Events(now, 0) {
+			if delete(told, event.Program); event.Kind == cacher.Stored {
+				told[event.Program] = event.Tokens
+			}
+		}
+		var replayed []cacher.Resident
+		for program, tokens := range told {
+			replayed = append(replayed, cacher.Resident{Program: program, Tokens: tokens})
+		}
+		g.Expect(replayed).To(gomega.ConsistOf(recent))
+	})
+}
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -140,6 +140,7 @@
 		"prefill_tokens": stats.PrefillTokens, "cached_tokens": stats.CachedTokens,
 		"output_tokens": stats.OutputTokens, "evicted_tokens": stats.EvictedTokens,
 		"exported_bytes": e.exported.Load(), "rejected_orders": stats.RejectedOrders,
+		"streams": stats.Streams,
 	})
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -2,8 +2,8 @@
 // HTTP protocol, objects with S3's, and a VM list that lags.
 //
 // One goroutine owns the state. Requests pass a filter that applies the faults
-// before they reach the state, so a request that is held during a silence can
-// still take effect after it.
+// before they reach the state. A request that is held during a silence can take
+// effect after it, even if its client has given up by then.
 package platform
 
 import (
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -75,6 +75,7 @@
 	mux.HandleFunc("POST /v1/operations/{operation}", s.operate)
 	mux.HandleFunc("GET /v1/results", s.lookUp)
 	mux.HandleFunc("GET /load", s.load)
+	mux.HandleFunc("GET "+faulter.ControlPrefix+"stats", s.stats)
 	s.handler = s.faulter.Filter(mux)
 	return s
 }
@@ -200,3 +201,8 @@
 		"running": load.Running, "waiting": load.Waiting, "waiting_tokens": 0, "leaving": load.Leaving,
 	})
 }
+
+func (s *Service) stats(w http.ResponseWriter, _ *http.Request) {
+	load, _ := s.runner.Ask(worker.ReadCurrentLoad{}).(worker.Load)
+	replier.JSON(w, http.StatusOK, map[string]any{"running": load.Running, "waiting": load.Waiting})
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -68,15 +68,19 @@
 // ReadLoad reads the load report. Answered by Load.
 type ReadLoad struct{}
 
+// ReadCurrentLoad reads the load without its lag. Answered by Load.
+type ReadCurrentLoad struct{}
+
 // SetLeaving changes what the load report says. Answered by Accepted.
 type SetLeaving struct{ Leaving bool }
 
-func (Submit) command()      {}
-func (Abandon) command()     {}
-func (LookUp) command()      {}
-func (LookUpOther) command() {}
-func (ReadLoad) command()    {}
-func (SetLeaving) command()  {}
+func (Submit) command()          {}
+func (Abandon) command()         {}
+func (LookUp) command()          {}
+func (LookUpOther) command()     {}
+func (ReadLoad) command()        {}
+func (ReadCurrentLoad) command() {}
+func (SetLeaving) command()      {}
 
 // Reply is a reply of the worker. The interface is sealed.
 type Reply interface{ reply() }
@@ -191,6 +195,8 @@
 		return Found{Result: w.other(callKey{c.Program, c.Call})}
 	case ReadLoad:
 		return w.load.Get(now)
+	case ReadCurrentLoad:
+		return w.current()
 	case SetLeaving:
 		w.leaving = c.Leaving
 	}
@@ -206,10 +212,12 @@
 	return nil
 }
 
-func (w *Worker) recordLoad(now time.Time) {
-	w.load.Set(now, Load{Running: len(w.running), Waiting: len(w.waiting), Leaving: w.leaving})
+func (w *Worker) current() Load {
+	return Load{Running: len(w.running), Waiting: len(w.waiting), Leaving: w.leaving}
 }
 
+func (w *Worker) recordLoad(now time.Time) { w.load.Set(now, w.current()) }
+
 // Tick ends the runs that are due and returns the time of the next one.
 func (w *Worker) Tick(now time.Time) time.Time {
 	for {
