--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -147,6 +147,7 @@
 	for ; s.sent < p.Produced; s.sent++ {
 		last := s.sent == s.total-1
 		if last && s.verdict.Drop {
+			s.flush()
 			panic(http.ErrAbortHandler)
 		}
 		s.event(p, []choice{{Text: batcher.Word(s.digest, s.sent) + " "}}, last)
--- a/internal/standin/faulter/faulter.go
+++ b/internal/standin/faulter/faulter.go
@@ -100,8 +100,9 @@
 		if !strings.HasPrefix(r.URL.Path, ControlPrefix) {
 			// net/http notices that the client has gone only after the body
 			// was read.
-			body, err := io.ReadAll(r.Body)
+			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, replier.BodyLimit))
 			if err != nil {
+				replier.Error(w, http.StatusBadRequest, "the body can't be read: "+err.Error())
 				return
 			}
 			r.Body = io.NopCloser(bytes.NewReader(body))
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -28,9 +28,6 @@
 
 const controlPrefix = "/standin/"
 
-// bodyLimit bounds a request body; a transaction of DynamoDB has at most 4 MB.
-const bodyLimit = 64 << 20
-
 // Platform is a platform. It is safe for concurrent use.
 type Platform struct {
 	timers       *timer.Service
@@ -119,7 +116,7 @@
 		}
 		// net/http notices that the client has gone only after the body was
 		// read.
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, replier.BodyLimit))
 		if err != nil {
 			http.Error(w, "the body can't be read", http.StatusBadRequest)
 			return
--- a/internal/standin/replier/replier.go
+++ b/internal/standin/replier/replier.go
@@ -7,9 +7,9 @@
 	"net/http"
 )
 
-// bodyLimit bounds a request body. An exported prefix of 390,000 tokens with
+// BodyLimit bounds a request body. An exported prefix of 390,000 tokens with
 // 64 bytes a token, in base64, fits.
-const bodyLimit = 64 << 20
+const BodyLimit = 64 << 20
 
 // JSON writes a body with a status. A failed write is ignored, since the
 // client has gone.
@@ -38,7 +38,7 @@
 // Read decodes the body of a request. If that fails it answers 400 and
 // returns false.
 func Read(w http.ResponseWriter, r *http.Request, body any) bool {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, BodyLimit))
 	if err == nil {
 		err = json.Unmarshal(raw, body)
 	}
