platform, peer: tests for faults that removed checks let through

Of 23 checks that were removed one at a time, 4 left all tests green: the call id of voids and signs, the server's proof, the closing of idle connections after a time-out, and the end of the signs before the response. The first 3 are now caught. The last needs a sign to fall between the response and its return; forcing that by a sleep was ruled out as flaky, so it is still not covered.

--- a/internal/peer/dialer/dialer_test.go
+++ b/internal/peer/dialer/dialer_test.go
@@ -188,6 +188,8 @@
 		expectUnreachable(links.Forward(ctx, gone.Addr().String(), x), true)
 		expectUnreachable(newDialer(dialer.WithKey([]byte("other"))).Forward(ctx, address, x), true)
 		expectUnreachable(newDialer(dialer.WithKey(nil)).Forward(ctx, address, x), true)
+		stranger := newScripted([]byte("other"), func(*jsonrpc2.Conn, *jsonrpc2.Request) { ran.Add(1) })
+		expectUnreachable(links.Forward(ctx, stranger, x), true)
 		silent := listen()
 		DeferCleanup(silent.Close)
 		expectUnreachable(links.Forward(ctx, silent.Addr().String(), x), true)
@@ -307,8 +309,15 @@
 		},
 		Entry("chunk of another call", notifies(protocol.NotifyChunk, protocol.Chunk{Call: "c2", Text: "crossed"})),
 		Entry("chunk out of order", notifies(protocol.NotifyChunk, protocol.Chunk{Call: "c1", Index: 1, Text: "crossed"})),
-		Entry("void of another call", notifies(protocol.NotifyVoid, protocol.Reference{Call: "c2"})),
-		Entry("sign of another call", notifies(protocol.NotifyAlive, protocol.Reference{Call: "c2"})),
+		Entry("void of another call", script(func(conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+			notifies(protocol.NotifyChunk, protocol.Chunk{Call: "c1", Text: "one"})(conn, r)
+			notifies(protocol.NotifyVoid, protocol.Reference{Call: "c2"})(conn, r)
+			notifies(protocol.NotifyChunk, protocol.Chunk{Call: "c1", Text: "again"})(conn, r)
+		})),
+		Entry("sign of another call", script(func(conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+			notifies(protocol.NotifyAlive, protocol.Reference{Call: "c2"})(conn, r)
+			notifies(protocol.NotifyChunk, protocol.Chunk{Call: "c1", Text: "one"})(conn, r)
+		})),
 		Entry("missing chunk", script(func(*jsonrpc2.Conn, *jsonrpc2.Request) {})),
 		Entry("voided chunk", script(func(conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
 			notifies(protocol.NotifyChunk, protocol.Chunk{Call: "c1", Text: "one"})(conn, r)
--- a/internal/platform/tabler/fake_test.go
+++ b/internal/platform/tabler/fake_test.go
@@ -34,10 +34,13 @@
 	loseAnswers, dropWrites, failReads, throttleWrites atomic.Int64
 	transactions                                       atomic.Int64
 	closing                                            chan struct{}
+	// gate holds up reads until it is closed.
+	gate chan struct{}
 }
 
 func newFake() *fake {
-	f := &fake{items: map[string]item{}, closing: make(chan struct{})}
+	f := &fake{items: map[string]item{}, closing: make(chan struct{}), gate: make(chan struct{})}
+	close(f.gate)
 	f.Server = httptest.NewServer(f)
 	return f
 }
@@ -71,6 +74,7 @@
 }
 
 func (f *fake) get(w http.ResponseWriter, r *http.Request) {
+	<-f.gate
 	if take(&f.failReads) {
 		refuse(w, http.StatusInternalServerError, "InternalServerError", nil)
 		return
--- a/internal/platform/tabler/tabler_test.go
+++ b/internal/platform/tabler/tabler_test.go
@@ -166,4 +166,26 @@
 		seen = server.seen()
 		Expect(seen[len(seen)-1]).NotTo(Equal(seen[0]))
 	})
+
+	// Guards against the use of other idle connections after a time-out, which
+	// probably lead to the same silent peer.
+	It("drops all idle connections after a time-out", func() {
+		server.gate = make(chan struct{})
+		read := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, _, err := client.Get(ctx, table.NodeKind, "0")
+				read <- err
+			}()
+		}
+		Eventually(server.seen).Should(HaveLen(2))
+		close(server.gate)
+		Eventually(read).Should(Receive(BeNil()))
+		Eventually(read).Should(Receive(BeNil()))
+		server.dropWrites.Store(1)
+		Expect(client.Commit(ctx, []table.Write{node(0, "a")})).To(Equal(message.Uncertain))
+		seen := server.seen()
+		Expect(seen).To(HaveLen(4))
+		Expect(seen[:3]).NotTo(ContainElement(seen[3]))
+	})
 })
