servicecaller: send non-idempotent calls at most once

Cause: net/http resends a request on its own after a dropped kept-alive connection or a redirect, which would run a permit or fee twice. Ruled out: a retry option and kept-alive connections, since both reopen the path to a second send; other statuses than 429 and 503 with the leaving header as "not run", since the service may have run the call.

--- /dev/null
+++ b/internal/servicecaller/caller.go
@@ -0,0 +1,174 @@
+package servicecaller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+// Request is one dispatch of a call.
+type Request struct {
+	// Address is the IP address and port of the service.
+	Address   string
+	Program   ident.ProgramID
+	Call      ident.CallID
+	Attempt   ident.Attempt
+	Operation ident.Operation
+	Body      string
+}
+
+// Result is the answer of a service that ran the call.
+type Result struct {
+	Answer   record.Answer
+	Duration time.Duration
+}
+
+// Caller calls services. It is safe for concurrent use.
+type Caller struct {
+	timers  *timer.Service
+	limit   time.Duration
+	size    unit.Bytes
+	client  *http.Client
+	crossed atomic.Uint64
+}
+
+// Option changes how New builds a Caller.
+type Option func(*Caller)
+
+// WithLimit limits the time of a call; the default is 30 s.
+func WithLimit(limit time.Duration) Option {
+	return func(c *Caller) { c.limit = limit }
+}
+
+// WithSize limits the size of an answer; the default is 4 MiB.
+func WithSize(size unit.Bytes) Option {
+	return func(c *Caller) { c.size = size }
+}
+
+// New returns a Caller whose limit follows the timer service.
+func New(timers *timer.Service, options ...Option) *Caller {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	c := &Caller{
+		timers: timers,
+		limit:  30 * time.Second,
+		size:   4 << 20,
+		client: &http.Client{
+			// net/http resends a request whose kept-alive connection was
+			// closed; without keep-alives there is no such connection.
+			Transport: &http.Transport{
+				Protocols:          protocols,
+				DisableKeepAlives:  true,
+				DisableCompression: true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Crossed returns the number of answers that belonged to another call.
+func (c *Caller) Crossed() uint64 { return c.crossed.Load() }
+
+// Call sends a call once and returns its answer. Errors are variants of
+// Failure.
+func (c *Caller) Call(ctx context.Context, request Request) (Result, error) {
+	started := c.timers.Now()
+	ctx, cancel := expirer.Context(ctx, c.timers, c.limit)
+	defer cancel()
+	response, err := c.send(ctx, request)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := status(response); err != nil {
+		return Result{}, err
+	}
+	reply, err := ReadReply(response.Body, c.size)
+	if err != nil {
+		return Result{}, Unknown{Cause: cause(ctx, err)}
+	}
+	if reply.Program != request.Program || reply.Call != request.Call || reply.Attempt != request.Attempt {
+		c.crossed.Add(1)
+		return Result{}, Unknown{Cause: Crossed}
+	}
+	if reply.Answer.Failed != (response.StatusCode == http.StatusUnprocessableEntity) {
+		return Result{}, Unknown{Cause: errors.Annotatef(Malformed, "status %d does not match the body", response.StatusCode)}
+	}
+	return Result{Answer: reply.Answer, Duration: c.timers.Now().Sub(started)}, nil
+}
+
+func (c *Caller) send(ctx context.Context, r Request) (*http.Response, error) {
+	body, err := json.Marshal(struct {
+		Program ident.ProgramID `json:"program"`
+		Call    ident.CallID    `json:"call_id"`
+		Attempt ident.Attempt   `json:"attempt"`
+		Body    string          `json:"body"`
+	}{r.Program, r.Call, r.Attempt, r.Body})
+	if err != nil {
+		return nil, NotRun{Cause: err}
+	}
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	target := "http://" + r.Address + "/v1/operations/" + url.PathEscape(string(r.Operation))
+	// The wrapper hides the type of the reader, so that GetBody stays nil and
+	// the body can't be sent a second time.
+	source := struct{ io.Reader }{strings.NewReader(string(body))}
+	request, err := http.NewRequestWithContext(traced, http.MethodPost, target, source)
+	if err != nil {
+		return nil, NotRun{Cause: err}
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	switch {
+	case err == nil:
+		return response, nil
+	case !connected.Load():
+		// Without a connection no byte was written.
+		return nil, NotRun{Cause: cause(ctx, err)}
+	default:
+		return nil, Unknown{Cause: cause(ctx, err)}
+	}
+}
+
+// cause prefers the reason for which the context ended.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+func status(response *http.Response) error {
+	leaving := response.Header.Get("X-Upstream-Leaving") == "true"
+	switch code := response.StatusCode; {
+	case code == http.StatusOK, code == http.StatusUnprocessableEntity:
+		return nil
+	case code == http.StatusServiceUnavailable && leaving:
+		return NotRun{Leaving: true, Cause: Leaving}
+	case code == http.StatusTooManyRequests:
+		return NotRun{Cause: Full}
+	default:
+		return Unknown{Cause: errors.Errorf("service answers with status %d", code)}
+	}
+}
