--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"golang.org/x/tools/txtar"
@@ -72,7 +73,8 @@
 		if err == nil && (result.Cluster.Shards < 1 || result.Cluster.Lease <= 0 || result.VM == "") {
 			t.Fatalf("invalid settings accepted: %+v", result)
 		}
-		if problems, listed := err.(loader.Problems); err != nil && (!listed || len(problems) == 0) {
+		var problems loader.Problems
+		if err != nil && (!errors.As(err, &problems) || len(problems) == 0) {
 			t.Fatalf("error without problems: %v", err)
 		}
 	})
