enginecaller: keep the text of a rejection out of the error message

Cause: an engine may quote the prompt in the text of a status 400, and error messages reach the log, which must hold no content of callers. Ruled out: dropping the text altogether, since the dispatch filter may give it to the caller whose prompt it is.

--- a/internal/enginecaller/failure.go
+++ b/internal/enginecaller/failure.go
@@ -27,7 +27,9 @@
 // rejects it, too.
 type Rejected struct {
 	Status int
-	Text   string
+	// Text is what the engine says. It may quote the prompt and is therefore not
+	// part of the error's message.
+	Text string
 }
 
 // Broken says that the stream ended before it was whole and that resuming
@@ -60,7 +62,7 @@
 
 // Error returns a message that names the remedy.
 func (f Rejected) Error() string {
-	return fmt.Sprintf("engine rejects the request with status %d: %s; correct the request", f.Status, f.Text)
+	return fmt.Sprintf("engine rejects the request with status %d; correct the request", f.Status)
 }
 
 // Error returns a message that names the remedy.
