--- a/internal/enginecaller/run.go
+++ b/internal/enginecaller/run.go
@@ -64,7 +64,9 @@
 	go r.read(ctx, fresh, inbox)
 	defer func() {
 		cancel()
-		for range inbox { //nolint:revive // Waits until the connection is closed.
+		for range inbox {
+			// The inbox is closed after the connection.
+			continue
 		}
 	}()
 	limit := r.caller.firstByte
@@ -159,7 +161,7 @@
 	}
 	again := r.texts[r.resumed:]
 	if counted != len(again) || r.resumed == 0 || !begins(again, r.texts[:r.resumed]) {
-		return errors.Annotatef(Incomplete, "%d of %d tokens", len(r.texts), counted)
+		return errors.Annotatef(Miscounted, "%d of %d tokens", len(r.texts), counted)
 	}
 	if err := r.void(); err != nil {
 		return callbackError{err}
@@ -191,12 +193,13 @@
 	if len(r.texts) == 0 || ctx.Err() != nil {
 		return false
 	}
-	if r.usage != nil && errors.Is(err, Incomplete) {
-		return false
-	}
 	var callback callbackError
 	var rejected Rejected
-	return !errors.As(err, &callback) && !errors.As(err, &rejected)
+	var refused Refused
+	if errors.As(err, &refused) && refused.Leaving {
+		return false
+	}
+	return !errors.Is(err, Miscounted) && !errors.As(err, &callback) && !errors.As(err, &rejected)
 }
 
 // classify returns the Failure for the error of the last connection. A refusal
