--- /dev/null
+++ b/chain.go
@@ -0,0 +1,41 @@
+package sassafrasspur
+
+import (
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/enginecaller"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/admitter"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/dispatcher"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/identifier"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/locator"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
+	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
+)
+
+// buildChain sets down the order in which every request passes the filters.
+func (n *Node) buildChain() {
+	s := n.settings
+	engines := enginecaller.New(n.timers,
+		enginecaller.WithFirstByte(s.Limits.FirstByte), enginecaller.WithBetween(s.Limits.BetweenBytes))
+	services := servicecaller.New(n.timers, servicecaller.WithLimit(s.Limits.FirstByte))
+	identify := identifier.New(n.accounts())
+	n.identify = chain.New(identify)
+	n.chain = chain.New(
+		identify,
+		locator.New(n.control.Snapshot, n.dialer, n.timers, locator.WithPatience(s.Limits.OwnerWait)),
+		manager.New(n.control),
+		orderer.New(n.control, n.timers, orderer.WithCallLimit(s.Limits.CallTime)),
+		admitter.New(n.control, n.timers),
+		recorder.New(n.control),
+		dispatcher.New(n.control, n.timers, engines, services),
+	)
+}
+
+func (n *Node) accounts() map[string]chain.Account {
+	accounts := map[string]chain.Account{}
+	for _, a := range n.settings.Accounts {
+		accounts[a.Token.Reveal()] = a.Account
+	}
+	return accounts
+}
--- a/cmd/sassafrasspur/options.go
+++ b/cmd/sassafrasspur/options.go
@@ -169,6 +169,7 @@
 	Body      string      `long:"body" description:"Body of the call"`
 	BodyFile  string      `long:"body-file" value-name:"FILE" description:"File with the body of the call; - for the standard input"`
 	MaxTokens int64       `long:"max-tokens" description:"Limit of the answer"`
+	First     bool        `long:"first" description:"State that this call id was never sent before, so that a refusal can promise that the call has not run"`
 	Args      programArgs `positional-args:"yes" required:"yes"`
 }
 
@@ -176,13 +177,14 @@
 func (k *call) Execute([]string) error {
 	k.choice.action = func(ctx context.Context, c *commander.Commander) error {
 		return c.Call(ctx, programs.CallPayload{
-			Program:   k.Args.Program,
-			CallID:    k.CallID,
-			Position:  k.Position,
-			Pool:      k.Pool,
-			Operation: k.Operation,
-			Body:      k.Body,
-			MaxTokens: k.MaxTokens,
+			Program:         k.Args.Program,
+			CallID:          k.CallID,
+			Position:        k.Position,
+			Pool:            k.Pool,
+			Operation:       k.Operation,
+			Body:            k.Body,
+			MaxTokens:       k.MaxTokens,
+			FirstSubmission: k.First,
 		}, k.BodyFile)
 	}
 	return nil
--- /dev/null
+++ b/control.go
@@ -0,0 +1,124 @@
+package sassafrasspur
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
+	"github.com/sassafrasspur/sassafrasspur/internal/committer"
+	"github.com/sassafrasspur/sassafrasspur/internal/configurer"
+	"github.com/sassafrasspur/sassafrasspur/internal/executor"
+	"github.com/sassafrasspur/sassafrasspur/internal/journaler"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/peer/news"
+	"github.com/sassafrasspur/sassafrasspur/internal/performer"
+	"github.com/sassafrasspur/sassafrasspur/internal/placer"
+	"github.com/sassafrasspur/sassafrasspur/internal/platform/lister"
+	"github.com/sassafrasspur/sassafrasspur/internal/registrar"
+	"github.com/sassafrasspur/sassafrasspur/internal/releaser"
+	"github.com/sassafrasspur/sassafrasspur/internal/resolver"
+	"github.com/sassafrasspur/sassafrasspur/internal/sequencer"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstreamprober"
+)
+
+// startControl starts the control goroutine with all controllers. Messages
+// reach them in the order of this list.
+func (n *Node) startControl(self cluster.Node) {
+	s := n.settings
+	process := uuid.NewString()
+	list := lister.New(lister.WithEndpoint(s.Platform.ListURL), lister.WithTimeout(s.Platform.Timeout))
+	work := performer.New(
+		performer.WithPlatform(journaler.New(n.table, n.objects, n.timers), n.table, list),
+		performer.WithProber(upstreamprober.New(n.timers)),
+		performer.WithGossiper(n.dialer, n.news),
+		performer.WithTimers(n.timers),
+	)
+	n.control = executor.New(
+		executor.WithTimers(n.timers),
+		executor.WithPerformer(work),
+		executor.WithControllers(
+			committer.New(
+				committer.WithProcess(process),
+				committer.WithLease(s.Cluster.Lease, s.Cluster.Renewal),
+				committer.WithSpacing(s.Cluster.BatchSpacing),
+			),
+			registrar.New(self,
+				registrar.WithProcess(process),
+				registrar.WithShards(s.Cluster.Shards),
+				registrar.WithLease(s.Cluster.Lease, s.Cluster.Margin),
+				registrar.WithInterval(s.Cluster.ReadInterval),
+			),
+			configurer.New(s.VM, configurer.WithFreshness(s.Freshness.Configuration, s.Freshness.Interval)),
+			sequencer.New(sequencer.WithShards(s.Cluster.Shards)),
+			placer.New(
+				placer.WithVM(s.VM),
+				placer.WithRegion(s.Region),
+				placer.WithPolicy(s.Placement.Policy),
+				placer.WithSeed(s.Placement.Seed),
+				placer.WithReportInterval(s.Freshness.Interval),
+				placer.WithViewLimit(s.Freshness.Upstreams),
+				placer.WithQueueLimit(s.Limits.QueueWait),
+			),
+			releaser.New(),
+			resolver.New(),
+		),
+	)
+}
+
+// news returns what the node tells its peers.
+func (n *Node) news() news.News {
+	view := n.control.Snapshot()
+	own := news.News{VM: n.settings.VM, Leaving: view.Leaving}
+	if view.Configuration != nil {
+		own.Version = view.Configuration.Version
+		own.Age = n.timers.Now().Sub(view.ConfigurationAsOf)
+	}
+	return own
+}
+
+// answerGossip takes the news of a peer in and answers with the node's own. A
+// peer with an older configuration gets the whole one.
+func (n *Node) answerGossip(_ context.Context, heard news.News) news.News {
+	n.control.Post(message.PeerHeard{
+		VM:            heard.VM,
+		Version:       heard.Version,
+		Age:           heard.Age,
+		Configuration: heard.Configuration,
+		Leaving:       heard.Leaving,
+		At:            n.timers.Now(),
+	})
+	own := n.news()
+	if own.Version > heard.Version {
+		own.Configuration = n.control.Snapshot().Configuration
+	}
+	return own
+}
+
+// drained reports whether the node owns nothing any more, or no live node is
+// left that could take over what it owns.
+func (n *Node) drained() bool {
+	view := n.control.Snapshot()
+	if len(view.Assignment.OwnedBy(view.Self.VM, view.Self.Incarnation)) == 0 {
+		return true
+	}
+	return !slices.ContainsFunc(view.Nodes, func(other cluster.Node) bool { return other.State == cluster.Live })
+}
+
+// await waits until a condition on the snapshot holds or the context ends.
+func (n *Node) await(ctx context.Context, condition func() bool) {
+	for !condition() {
+		wait := n.timers.After(awaitInterval)
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Cancel()
+			return
+		}
+	}
+}
+
+// awaitInterval is the time between two looks at the snapshot at shutdown.
+const awaitInterval = 100 * time.Millisecond
--- a/design/programs.go
+++ b/design/programs.go
@@ -140,6 +140,7 @@
 			Attribute("operation", String, func() { MaxLength(128); Default("") })
 			Attribute("body", String)
 			Attribute("max_tokens", Int64, "Limit of the answer", func() { Minimum(0); Default(0) })
+			Attribute("first_submission", Boolean, "The caller has not sent this call id before; without it, a refusal may be unable to promise that the call has not run", func() { Default(false) })
 			Required("program", "call_id", "position", "pool", "body")
 		})
 		StreamingResult(event)
--- a/gen/http/cli/sassafrasspur/cli.go
+++ b/gen/http/cli/sassafrasspur/cli.go
@@ -35,7 +35,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "addresses list --account \"2gj\" --token \"Aperiam animi atque autem.\"" + "\n" +
+	return os.Args[0] + " " + "addresses list --account \"vo4\" --token \"Aut aut est reprehenderit suscipit.\"" + "\n" +
 		os.Args[0] + " " + "plans create --body '{\n      \"intent\": \"mi\"\n   }' --token \"Voluptatum deserunt fuga reiciendis perspiciatis.\"" + "\n" +
 		os.Args[0] + " " + "status show --token \"Quis non enim voluptatem.\"" + "\n" +
 		os.Args[0] + " " + "programs open --body '{\n      \"budget\": {\n         \"calls\": 2040296482728821774,\n         \"seconds\": 19153971,\n         \"tokens\": 1063726639118754342\n      },\n      \"class\": \"te\",\n      \"program\": \"bmgl\"\n   }' --token \"Nobis eligendi.\"" + "\n" +
@@ -326,7 +326,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "addresses list --account \"2gj\" --token \"Aperiam animi atque autem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "addresses list --account \"vo4\" --token \"Aut aut est reprehenderit suscipit.\"")
 }
 
 // plansUsage displays the usage of the plans command and its subcommands.
@@ -542,7 +542,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs call --body '{\n      \"body\": \"Et alias aut optio necessitatibus.\",\n      \"call_id\": \"F\",\n      \"max_tokens\": 1015724121798432888,\n      \"operation\": \"gts\",\n      \"pool\": \"e\",\n      \"position\": 3366458852146833152\n   }' --program \"a9sa.546\" --token \"Perspiciatis minus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs call --body '{\n      \"body\": \"Et alias aut optio necessitatibus.\",\n      \"call_id\": \"F\",\n      \"first_submission\": true,\n      \"max_tokens\": 1015724121798432888,\n      \"operation\": \"gts\",\n      \"pool\": \"e\",\n      \"position\": 3366458852146833152\n   }' --program \"zs3t.6815.3903\" --token \"Voluptatem voluptas.\"")
 }
 
 func programsEndUsage() {
@@ -562,7 +562,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs end --program \"9ql6ae.5.7\" --token \"Provident placeat placeat iusto ut doloremque qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs end --program \"z9n\" --token \"Ut doloremque qui ea aut.\"")
 }
 
 func programsShowUsage() {
@@ -582,5 +582,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs show --program \"i5xv.92.24\" --token \"Asperiores neque cumque id ab totam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs show --program \"uu8\" --token \"Eius voluptatum delectus eos.\"")
 }
--- a/gen/http/programs/client/cli.go
+++ b/gen/http/programs/client/cli.go
@@ -109,7 +109,7 @@
 	{
 		err = json.Unmarshal([]byte(programsCallBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Et alias aut optio necessitatibus.\",\n      \"call_id\": \"F\",\n      \"max_tokens\": 1015724121798432888,\n      \"operation\": \"gts\",\n      \"pool\": \"e\",\n      \"position\": 3366458852146833152\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Et alias aut optio necessitatibus.\",\n      \"call_id\": \"F\",\n      \"first_submission\": true,\n      \"max_tokens\": 1015724121798432888,\n      \"operation\": \"gts\",\n      \"pool\": \"e\",\n      \"position\": 3366458852146833152\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.call_id", body.CallID, "^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$"))
 		if body.Position < 1 {
@@ -146,12 +146,13 @@
 		}
 	}
 	v := &programs.CallPayload{
-		CallID:    body.CallID,
-		Position:  body.Position,
-		Pool:      body.Pool,
-		Operation: body.Operation,
-		Body:      body.Body,
-		MaxTokens: body.MaxTokens,
+		CallID:          body.CallID,
+		Position:        body.Position,
+		Pool:            body.Pool,
+		Operation:       body.Operation,
+		Body:            body.Body,
+		MaxTokens:       body.MaxTokens,
+		FirstSubmission: body.FirstSubmission,
 	}
 	{
 		var zero string
@@ -165,6 +166,12 @@
 			v.MaxTokens = 0
 		}
 	}
+	{
+		var zero bool
+		if v.FirstSubmission == zero {
+			v.FirstSubmission = false
+		}
+	}
 	v.Program = program
 	v.Token = token
 
--- a/gen/http/programs/client/types.go
+++ b/gen/http/programs/client/types.go
@@ -42,6 +42,9 @@
 	Body      string `form:"body" json:"body" xml:"body"`
 	// Limit of the answer
 	MaxTokens int64 `form:"max_tokens" json:"max_tokens" xml:"max_tokens"`
+	// The caller has not sent this call id before; without it, a refusal may be
+	// unable to promise that the call has not run
+	FirstSubmission bool `form:"first_submission" json:"first_submission" xml:"first_submission"`
 }
 
 // OpenResponseBody is the type of the "programs" service "open" endpoint HTTP
@@ -797,12 +800,13 @@
 // "call" endpoint of the "programs" service.
 func NewCallRequestBody(p *programs.CallPayload) *CallRequestBody {
 	body := &CallRequestBody{
-		CallID:    p.CallID,
-		Position:  p.Position,
-		Pool:      p.Pool,
-		Operation: p.Operation,
-		Body:      p.Body,
-		MaxTokens: p.MaxTokens,
+		CallID:          p.CallID,
+		Position:        p.Position,
+		Pool:            p.Pool,
+		Operation:       p.Operation,
+		Body:            p.Body,
+		MaxTokens:       p.MaxTokens,
+		FirstSubmission: p.FirstSubmission,
 	}
 	{
 		var zero string
@@ -816,6 +820,12 @@
 			body.MaxTokens = 0
 		}
 	}
+	{
+		var zero bool
+		if body.FirstSubmission == zero {
+			body.FirstSubmission = false
+		}
+	}
 	return body
 }
 
--- a/gen/http/programs/server/types.go
+++ b/gen/http/programs/server/types.go
@@ -44,6 +44,9 @@
 	Body      *string `form:"body,omitempty" json:"body,omitempty" xml:"body,omitempty"`
 	// Limit of the answer
 	MaxTokens *int64 `form:"max_tokens,omitempty" json:"max_tokens,omitempty" xml:"max_tokens,omitempty"`
+	// The caller has not sent this call id before; without it, a refusal may be
+	// unable to promise that the call has not run
+	FirstSubmission *bool `form:"first_submission,omitempty" json:"first_submission,omitempty" xml:"first_submission,omitempty"`
 }
 
 // OpenResponseBody is the type of the "programs" service "open" endpoint HTTP
@@ -1426,12 +1429,18 @@
 	if body.MaxTokens != nil {
 		v.MaxTokens = *body.MaxTokens
 	}
+	if body.FirstSubmission != nil {
+		v.FirstSubmission = *body.FirstSubmission
+	}
 	if body.Operation == nil {
 		v.Operation = ""
 	}
 	if body.MaxTokens == nil {
 		v.MaxTokens = 0
 	}
+	if body.FirstSubmission == nil {
+		v.FirstSubmission = false
+	}
 	v.Program = program
 	v.Token = token
 
--- a/gen/programs/service.go
+++ b/gen/programs/service.go
@@ -91,6 +91,9 @@
 	Body      string
 	// Limit of the answer
 	MaxTokens int64
+	// The caller has not sent this call id before; without it, a refusal may be
+	// unable to promise that the call has not run
+	FirstSubmission bool
 }
 
 // ChildPayload is the payload type of the programs service child method.
--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -30,7 +30,8 @@
 
 // Call runs a call and passes its events to receive, up to the end marker. When
 // the stream breaks, the call is sent again with the same call id, and receive
-// gets a void event if it has received chunks. An error event is returned as an
+// gets a void event if it has received chunks. Only the first try is marked as
+// the first submission, and only if the payload is. An error event is returned as an
 // error and not passed on.
 func (c *Client) Call(ctx context.Context, p programs.CallPayload, receive func(*programs.Event) error) error {
 	p.Token = c.token
@@ -39,7 +40,9 @@
 		if err := s.restart(); err != nil {
 			return err
 		}
-		return c.callOnce(ctx, host, &p, s)
+		err := c.callOnce(ctx, host, &p, s)
+		p.FirstSubmission = false
+		return err
 	})
 }
 
--- a/internal/filter/dispatcher/service.go
+++ b/internal/filter/dispatcher/service.go
@@ -27,7 +27,7 @@
 		return d.serviceFailed(ctx, x, call, err)
 	}
 	x.Result, x.Answer = chain.Answered{}, result.Answer
-	x.FirstByte = result.FirstByte
+	x.FirstByte = result.Duration
 	x.Chunks = 1
 	return x.Sink.Chunk(0, result.Answer.Body)
 }
@@ -36,7 +36,7 @@
 // that has an intent is cancelled, so that it may be sent to another upstream
 // or refused as not run.
 func (d *Dispatcher) serviceFailed(ctx context.Context, x *chain.Exchange, call request.Call, err error) error {
-	var declined servicecaller.Declined
+	var declined servicecaller.NotRun
 	if errors.As(err, &declined) {
 		if !x.Repeatable {
 			if cancelled := d.cancel(ctx, x, call); cancelled != nil {
--- a/internal/filter/locator/locator.go
+++ b/internal/filter/locator/locator.go
@@ -87,7 +87,7 @@
 // that is not known to be durable is asked for again, too.
 func ownerChanged(err *failure.Error) bool {
 	switch err.Kind {
-	case failure.NotOwner, failure.OwnerUnreachable, failure.NotDurable:
+	case failure.NotOwner, failure.OwnerUnreachable, failure.NotDurable, failure.ShuttingDown:
 		return true
 	}
 	return false
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -1,13 +1,9 @@
-// Package loader reads the settings of a daemon from a TOML file.
-//
-// A file is accepted as a whole or not at all. The error lists every problem
-// with its place in the file and a remedy.
 package loader
 
 import (
-	"fmt"
+	"io"
 	"os"
-	"sort"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -16,112 +12,76 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/settings"
 )
 
-// Loader reads settings.
-type Loader struct{ keys []settings.Key }
+// defaultMaxBytes also bounds the depth of nested values, which the TOML
+// library reads recursively.
+const defaultMaxBytes = 256 << 10
 
-// New returns a Loader for the table of keys.
-func New() *Loader { return &Loader{keys: settings.Keys()} }
-
-// Problem is one fault of a file.
-type Problem struct {
-	File string
-	// Line is 1 for a key that is missing.
-	Line    int
-	Key     string
-	Message string
-	Remedy  string
+// Loader reads and checks settings.
+type Loader struct {
+	maxBytes int64
 }
 
-// Problems are all faults of a file, in the order of lines.
-type Problems []Problem
+// Option changes how New builds a Loader.
+type Option func(*Loader)
+
+// WithMaxBytes sets the largest file that is read.
+func WithMaxBytes(n int64) Option { return func(l *Loader) { l.maxBytes = n } }
 
-// Error returns one line for each problem.
-func (p Problems) Error() string {
-	lines := make([]string, len(p))
-	for i, problem := range p {
-		lines[i] = fmt.Sprintf("%s:%d: %s: %s; %s", problem.File, problem.Line, problem.Key, problem.Message, problem.Remedy)
+// New returns a loader.
+func New(options ...Option) *Loader {
+	l := &Loader{maxBytes: defaultMaxBytes}
+	for _, option := range options {
+		option(l)
 	}
-	return strings.Join(lines, "\n")
+	return l
 }
 
-// Load reads a file. The error is Problems if the file could be read.
-func (l *Loader) Load(path string) (settings.Settings, error) {
-	data, err := os.ReadFile(path)
+// Load reads a file. The error is Problems unless the file can't be read.
+func (l *Loader) Load(path string) (*settings.Settings, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "the settings can't be read; check the path and its permissions")
+	}
+	defer func() { _ = file.Close() }()
+	text, err := io.ReadAll(io.LimitReader(file, l.maxBytes+1))
 	if err != nil {
-		return settings.Settings{}, errors.Annotate(err, "settings; name a readable file")
+		return nil, errors.Annotate(err, "the settings can't be read; check the file")
 	}
-	return l.Parse(path, data)
+	return l.Parse(path, string(text))
 }
 
-// Parse reads the contents of a file with a name. The error is Problems.
-func (l *Loader) Parse(name string, data []byte) (settings.Settings, error) {
-	var root map[string]any
-	if _, err := toml.Decode(string(data), &root); err != nil {
-		problem := Problem{File: name, Line: 1, Key: "file", Message: err.Error(), Remedy: "correct the TOML syntax"}
-		var syntax toml.ParseError
-		if errors.As(err, &syntax) {
-			problem.Line, problem.Message = max(syntax.Position.Line, 1), syntax.Message
-			if syntax.LastKey != "" {
-				problem.Key = syntax.LastKey
-			}
-		}
-		return settings.Settings{}, Problems{problem}
-	}
-	c := &checker{file: name, lines: index(string(data)), known: map[string]bool{}}
-	c.table("", "", root, l.keys)
-	c.accounts(root[settings.AccountsKey], l.keys)
-	c.unknown("", "", root)
-	if len(c.problems) == 0 {
-		c.relations()
+// Parse checks the text of a file, whose name is used in errors. The error is
+// Problems.
+func (l *Loader) Parse(file, text string) (*settings.Settings, error) {
+	if int64(len(text)) > l.maxBytes {
+		return nil, Problems{{File: file, Line: 1, Message: "the file is too long; remove what the daemon does not need"}}
 	}
-	if len(c.problems) > 0 {
-		sort.SliceStable(c.problems, func(i, j int) bool { return c.problems[i].Line < c.problems[j].Line })
-		return settings.Settings{}, c.problems
+	var document map[string]any
+	if _, err := toml.Decode(text, &document); err != nil {
+		return nil, Problems{syntax(file, err)}
 	}
-	return c.result, nil
-}
-
-// index returns the line of each key and table header. It serves messages only;
-// a key that it misses is reported at the line of its table.
-func index(text string) map[string]int {
-	lines := map[string]int{}
-	counts := map[string]int{}
-	prefix := ""
-	for i, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		switch {
-		case strings.HasPrefix(line, "[["):
-			name := clean(strings.SplitN(strings.TrimPrefix(line, "[["), "]", 2)[0])
-			prefix = fmt.Sprintf("%s[%d]", name, counts[name])
-			counts[name]++
-			lines[prefix] = i + 1
-			continue
-		case strings.HasPrefix(line, "["):
-			prefix = clean(strings.SplitN(strings.TrimPrefix(line, "["), "]", 2)[0])
-			lines[prefix] = i + 1
-			continue
-		}
-		if key, _, found := strings.Cut(line, "="); found && !strings.HasPrefix(line, "#") {
-			path := join(prefix, clean(key))
-			if _, seen := lines[path]; !seen {
-				lines[path] = i + 1
+	r := &reader{file: file, lines: scan(text), settings: &settings.Settings{}, failed: map[string]bool{}}
+	r.document(document)
+	r.rules()
+	if len(r.problems) > 0 {
+		slices.SortStableFunc(r.problems, func(a, b Problem) int {
+			if a.Line != b.Line {
+				return a.Line - b.Line
 			}
-		}
-	}
-	return lines
-}
-
-func clean(key string) string {
-	parts := strings.Split(key, ".")
-	for i, part := range parts {
-		parts[i] = strings.Trim(strings.TrimSpace(part), `"'`)
+			return strings.Compare(a.Key, b.Key)
+		})
+		return nil, r.problems
 	}
-	return strings.Join(parts, ".")
+	return r.settings, nil
 }
 
-func join(prefix, key string) string {
-	if prefix == "" {
-		return key
+// syntax returns the problem of a text that is no TOML. The library's message
+// is left out, because it may quote a part of a token.
+func syntax(file string, err error) Problem {
+	p := Problem{File: file, Line: 1, Message: "the text is no valid TOML; correct this line or the one before, texts need quotes and a key may occur once"}
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		p.Line = max(parse.Position.Line, 1)
 	}
-	return prefix + "." + key
+	return p
 }
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -14,107 +14,121 @@
 	"golang.org/x/tools/txtar"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/loader"
-	"github.com/sassafrasspur/sassafrasspur/internal/settings"
+	"github.com/sassafrasspur/sassafrasspur/internal/router"
 )
 
-var update = flag.Bool("update", false, "rewrite golden files")
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// secret is a part of every token and key in the golden files.
+const secret = "s3cret"
 
 func TestLoader(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "loader")
 }
 
-var _ = Describe("Loader", func() {
-	// Guards against a file that is half accepted, and against an error without
-	// place or remedy.
-	It("lists every problem", func() {
-		const path = "testdata/files.txtar"
-		archive, err := txtar.ParseFile(path)
-		Expect(err).NotTo(HaveOccurred())
-		last := &archive.Files[len(archive.Files)-1]
-		var lines strings.Builder
-		for _, file := range archive.Files[:len(archive.Files)-1] {
-			result, err := loader.New().Parse(file.Name, file.Data)
-			if err == nil {
-				_, _ = fmt.Fprintf(&lines, "%s: %+v\n", file.Name, result)
-				continue
-			}
-			Expect(result).To(BeZero())
-			_, _ = fmt.Fprintln(&lines, err)
-		}
+// cases returns the archive whose files are settings, each followed by errors.
+func cases() (string, *txtar.Archive) {
+	path := filepath.Join("testdata", "errors.txtar")
+	archive, err := txtar.ParseFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(len(archive.Files) % 2).To(BeZero())
+	return path, archive
+}
+
+// Guards against errors without a position or a remedy, files whose second
+// error shows only in the next run, and secrets in errors.
+var _ = It("reports all errors of a file with their positions", func() {
+	path, archive := cases()
+	for i := 0; i < len(archive.Files); i += 2 {
+		input, want := archive.Files[i], &archive.Files[i+1]
+		_, err := loader.New().Parse(input.Name, string(input.Data))
+		Expect(err).To(MatchError(errors.NotValid), input.Name)
+		got := err.Error() + "\n"
+		Expect(got).NotTo(ContainSubstring(secret), input.Name)
 		if *update {
-			last.Data = []byte(lines.String())
-			Expect(os.WriteFile(path, txtar.Format(archive), 0o644)).To(Succeed())
+			want.Data = []byte(got)
 		}
-		Expect(lines.String()).To(Equal(string(last.Data)))
-	})
+		Expect(got).To(Equal(string(want.Data)), input.Name+": run with -update and read the difference")
+	}
+	if *update {
+		Expect(os.WriteFile(path, txtar.Format(archive), 0o600)).To(Succeed())
+	}
+})
 
-	// Guards against examples that the daemon refuses.
-	It("accepts the examples", func() {
-		paths, _ := filepath.Glob("../../examples/*.toml")
-		Expect(paths).To(HaveLen(2))
-		for _, path := range paths {
-			_, err := loader.New().Load(path)
-			Expect(err).NotTo(HaveOccurred())
+// Guards against examples that the daemon refuses.
+var _ = It("loads the examples", func() {
+	for name, team := range map[string]string{"padang_bersama": "padang_bersama", "schoolmaal_loket": "schoolmaal_loket"} {
+		s, err := loader.New().Load("../../examples/" + name + ".toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Accounts).NotTo(BeEmpty())
+		for _, account := range s.Accounts {
+			Expect(string(account.Team)).To(Equal(team))
 		}
-	})
+	}
+})
+
+// Guards against defaults that break a bound or a rule, values that are stored
+// at another key, and choices of the table that no code knows.
+var _ = It("loads a file with required keys only", func() {
+	text, err := os.ReadFile("testdata/minimal.toml")
+	Expect(err).NotTo(HaveOccurred())
+	s, err := loader.New().Parse("minimal.toml", string(text))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Cluster.Lease).To(Equal(6 * time.Second))
+	Expect(s.Cluster.Renewal).To(Equal(2 * time.Second))
+	Expect(s.Cluster.Shards).To(Equal(48))
+	Expect(s.Placement.Policy).To(Equal(router.Product{}))
+	Expect(s.PeerAddress.String()).To(Equal("127.0.0.1:0"))
+	Expect(s.Platform.TableURL).To(Equal("http://127.0.0.1:1"))
+	for _, policy := range []string{"product", "round_robin", "least_loaded", "cache_affinity", "fcfs"} {
+		s, err := loader.New().Parse("minimal.toml", string(text)+"\n[placement]\npolicy = \""+policy+"\"\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Placement.Policy).NotTo(BeNil())
+		Expect(s.Placement.Policy.String()).To(Equal(policy))
+	}
+	for _, level := range []string{"debug", "info", "warn", "error"} {
+		s, err := loader.New().Parse("minimal.toml", "log_level = \""+level+"\"\n"+string(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.LogLevel.String()).To(Equal(level))
+	}
+})
+
+// Guards against a settings file that exhausts memory or the stack.
+var _ = It("refuses files that are too long or missing", func() {
+	_, err := loader.New(loader.WithMaxBytes(10)).Parse("f", "vm = \"a-long-name\"")
+	Expect(err).To(MatchError(ContainSubstring("f:1: the file is too long")))
+	_, err = loader.New().Load("testdata/missing.toml")
+	Expect(err).To(MatchError(ContainSubstring("check the path")))
+	for _, deep := range []string{"a = " + strings.Repeat("[", 200<<10), strings.Repeat("a.", 100<<10) + "a = 1", "a = " + strings.Repeat("[", 50<<10) + strings.Repeat("]", 50<<10)} {
+		_, err = loader.New().Parse("f", deep)
+		Expect(err).To(MatchError(errors.NotValid))
+	}
 })
 
-// FuzzParse guards against a panic and against values out of bounds.
+// Guards against panics and errors without a position in the file.
 func FuzzParse(f *testing.F) {
-	example, err := os.ReadFile("../../examples/padang_bersama.toml")
+	archive, err := txtar.ParseFile("testdata/errors.txtar")
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(example)
-	f.Add([]byte("accounts = [1]\nplatform = [[2]]\n[a.b]\n'c' = {d = 1}"))
-	f.Fuzz(func(t *testing.T, data []byte) {
-		result, err := loader.New().Parse("f", data)
-		if err == nil && (result.Cluster.Shards < 1 || result.Cluster.Lease <= 0 || result.VM == "") {
-			t.Fatalf("invalid settings accepted: %+v", result)
+	for _, file := range archive.Files {
+		f.Add(string(file.Data))
+	}
+	f.Add("a=\"\"\"x\n\"\"\"\"\"\n[[a.b]]\n[a.b.c]\nd.'e' = [{f=1},\n{g=[2]}]")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := loader.New().Parse("fuzz.toml", text)
+		if err == nil {
+			return
 		}
-		var problems loader.Problems
-		if err != nil && (!errors.As(err, &problems) || len(problems) == 0) {
-			t.Fatalf("error without problems: %v", err)
+		problems, ok := err.(loader.Problems) //nolint:errorlint // the type itself is promised
+		if !ok || len(problems) == 0 {
+			t.Fatalf("%T: %v", err, err)
 		}
-	})
-}
-
-// describe returns the columns values, unit and default of a kind.
-func describe(kind settings.Kind) string {
-	switch kind := kind.(type) {
-	case settings.Text:
-		return fmt.Sprintf("string, %d to 256 bytes | | required", kind.Min)
-	case settings.Choice:
-		return fmt.Sprintf("%s | | `%s`", strings.Join(kind.Values, ", "), kind.Default)
-	case settings.Address:
-		return "IP address and port | | required"
-	case settings.URL:
-		return "URL with an IP address | | required"
-	case settings.Duration:
-		return fmt.Sprintf("%v to %v | string with a unit | `\"%v\"`", kind.Min, kind.Max, kind.Default)
-	case settings.Integer:
-		return fmt.Sprintf("%d to %d | %s | `%d`", kind.Min, kind.Max, kind.Unit, kind.Default)
-	}
-	return ""
-}
-
-// TestDocument guards against a page of settings that differs from the table.
-func TestDocument(t *testing.T) {
-	const path = "../../docs/settings.md"
-	var page strings.Builder
-	page.WriteString("# Settings\n\nMade from the table in `internal/settings`; to renew it run `go test ./internal/loader -update`.\n\n" +
-		"| key | values | unit | default | meaning |\n| --- | --- | --- | --- | --- |\n")
-	for _, key := range settings.Keys() {
-		_, _ = fmt.Fprintf(&page, "| `%s` | %s | %s |\n", key.Path, describe(key.Kind), key.Help)
-	}
-	if *update {
-		if err := os.WriteFile(path, []byte(page.String()), 0o644); err != nil {
-			t.Fatal(err)
+		for _, p := range problems {
+			if p.File != "fuzz.toml" || p.Line < 1 || p.Line > strings.Count(text, "\n")+1 || p.Message == "" || strings.Contains(p.Error(), "\n") {
+				t.Fatalf("%+v", p)
+			}
 		}
-	}
-	written, err := os.ReadFile(path)
-	if err != nil || string(written) != page.String() {
-		t.Fatalf("docs/settings.md is not current (%v); run with -update", err)
-	}
+	})
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -25,22 +25,21 @@
 
 // New returns a Logger for the VM of the settings, at their level. Times are
 // those of the timer service, in UTC.
-func New(w io.Writer, timers *timer.Service, s settings.Settings) (*Logger, error) {
-	level, err := zerolog.ParseLevel(s.LogLevel)
-	if err != nil {
-		return nil, errors.Annotatef(err, "log level %q; correct log_level in the settings", s.LogLevel)
-	}
+func New(w io.Writer, timers *timer.Service, s settings.Settings) *Logger {
 	stamp := zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
 		e.Time(zerolog.TimestampFieldName, timers.Now().UTC())
 	})
-	lines := zerolog.New(w).Level(level).Hook(stamp).With().
+	lines := zerolog.New(w).Level(s.LogLevel).Hook(stamp).With().
 		Str("vm", string(s.VM)).
 		Str("domain", string(s.Domain)).
 		Str("region", string(s.Region)).
 		Logger()
-	return &Logger{lines: lines}, nil
+	return &Logger{lines: lines}
 }
 
+// Lines returns the log for the libraries that write to it themselves.
+func (l *Logger) Lines() zerolog.Logger { return l.lines }
+
 // With returns a Logger whose lines have more fields.
 func (l *Logger) With(fields ...Field) *Logger {
 	context := l.lines.With()
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/logger"
@@ -25,8 +26,7 @@
 	It("writes fields and no content", func() {
 		var lines strings.Builder
 		timers := timer.New(timer.WithManual(timer.NewManual(time.Unix(0, 0))))
-		l, err := logger.New(&lines, timers, settings.Settings{VM: "v", Domain: "d", Region: "r", LogLevel: "info"})
-		Expect(err).NotTo(HaveOccurred())
+		l := logger.New(&lines, timers, settings.Settings{VM: "v", Domain: "d", Region: "r", LogLevel: zerolog.InfoLevel})
 		l.Debug("hidden")
 		l.With(logger.Call("c"), logger.Program("p"), logger.Team("t"), logger.Attempt(2)).
 			Warn("dispatch failed", failure.New(failure.UpstreamFailed, "answer: private text"))
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -136,11 +136,15 @@
 	return nil
 }
 
-// Describe adds the nodes and owners to a snapshot.
+// Describe adds the nodes and owners to a snapshot. A node whose row has lapsed
+// is shown as closed, so that no caller is sent to it.
 func (r *Registrar) Describe(s *snapshot.Snapshot) {
 	s.Assignment = r.assignment.Clone()
 	s.Serving = len(r.serving)
 	for _, o := range r.nodes {
+		if r.lapsed(o, 0) {
+			o.node.State = cluster.Closed
+		}
 		s.Nodes = append(s.Nodes, o.node)
 	}
 }
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -5,50 +5,87 @@
 	"time"
 )
 
-// Kind says which values a key takes and stores a checked value. The interface
-// is sealed: the variants are Text, Choice, Address, URL, Duration and Integer.
+// Kind says which values a key takes and where they go. The interface is
+// sealed: the variants are Name, Address, URL, Duration, Integer, Choice and
+// Credential.
 type Kind interface{ sealed() }
 
-// Text is a string that is not empty and has at most 256 bytes.
-type Text struct {
-	// Secret values never appear in errors.
-	Secret bool
-	Min    int
-	Set    func(*Settings, string)
-}
+type (
+	// Name is a short text of letters, digits, dots, underscores and hyphens.
+	Name struct {
+		Set func(Scope, string)
+	}
+	// Address is an IP number and a port.
+	Address struct {
+		Set func(Scope, netip.AddrPort)
+	}
+	// URL is an http or https URL with an IP number.
+	URL struct {
+		Set func(Scope, string)
+	}
+	// Duration is a text with a unit. Whole durations are multiples of Step.
+	Duration struct {
+		Min, Max, Step time.Duration
+		Set            func(Scope, time.Duration)
+	}
+	// Integer is a whole number.
+	Integer struct {
+		Min, Max int64
+		Set      func(Scope, int64)
+	}
+	// Choice is one of some texts.
+	Choice struct {
+		Values []string
+		Set    func(Scope, string)
+	}
+	// Credential is a secret text of printable ASCII characters without spaces.
+	Credential struct {
+		MinLength, MaxLength int
+		Set                  func(Scope, Secret)
+	}
+)
+
+func (Name) sealed()       {}
+func (Address) sealed()    {}
+func (URL) sealed()        {}
+func (Duration) sealed()   {}
+func (Integer) sealed()    {}
+func (Choice) sealed()     {}
+func (Credential) sealed() {}
 
-// Choice is one of a list of strings.
-type Choice struct {
-	Values []string
-	// Default is empty if the key is required.
-	Default string
-	Set     func(*Settings, string)
+// Scope is where the value of a key is stored.
+type Scope struct {
+	*Settings
+	// Account is the element of the accounts; nil for the other keys.
+	Account *Account
 }
 
-// Address is an IP address and a port.
-type Address struct {
-	Set func(*Settings, netip.AddrPort)
+// Key is one row of the table.
+type Key struct {
+	// Table is the name of the TOML table; empty at the top level.
+	Table string
+	Name  string
+	Unit  string
+	// Default is the value of a missing key, as a text or an int64. A key
+	// without a default is required.
+	Default any
+	Purpose string
+	Kind    Kind
 }
 
-// URL is an http or https URL whose host is an IP address.
-type URL struct{ Set func(*Settings, string) }
+// MaxNameLength bounds a Name in bytes. Names are parts of table row keys.
+const MaxNameLength = 64
 
-// Duration is a string with a unit.
-type Duration struct {
-	Default, Min, Max time.Duration
-	Set               func(*Settings, time.Duration)
-}
+// AccountsTable is the array of tables that has one element for each account.
+const AccountsTable = "accounts"
 
-// Integer is a number with a unit.
-type Integer struct {
-	Default, Min, Max int64
-	Unit              string
-	Set               func(*Settings, int64)
-}
+// Required reports whether a file must have the key.
+func (k Key) Required() bool { return k.Default == nil }
 
-func (Text) sealed()     {}
-func (Choice) sealed()   {}
-func (Address) sealed()  {}
-func (URL) sealed()      {}
-func (Duration) sealed() {}
-func (Integer) sealed()  {}
+// Path returns the key with its table.
+func (k Key) Path() string {
+	if k.Table == "" {
+		return k.Name
+	}
+	return k.Table + "." + k.Name
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,75 +1,92 @@
-// Package settings has the settings of one daemon.
-//
-// Settings are read once at the start and never change; what operators change
-// while the system runs is in package configuration. Keys is the one table of
-// all keys with unit, default and bounds; docs/settings.md is made from it.
 package settings
 
 import (
 	"net/netip"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/router"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
-// Settings are the checked settings of a daemon.
+// Settings are the checked settings of one entry VM's daemon.
 type Settings struct {
-	VM            ident.VMID
-	Region        ident.Region
-	Domain        ident.Domain
+	VM     ident.VMID
+	Region ident.Region
+	Domain ident.Domain
+	// CallerAddress and PeerAddress may have port 0, by which the system
+	// chooses a free port.
 	CallerAddress netip.AddrPort
 	PeerAddress   netip.AddrPort
-	// PeerKey authenticates entry VMs to each other.
-	PeerKey  string
-	LogLevel string
-	// AddressRetention is how long callers may keep the addresses they got.
-	AddressRetention time.Duration
-	Platform         Platform
-	Cluster          Cluster
-	Freshness        Freshness
-	Limits           Limits
-	// Placement names the policy of the router.
-	Placement string
-	Accounts  []Account
+	LogLevel      zerolog.Level
+	Platform      Platform
+	Cluster       Cluster
+	Freshness     Freshness
+	Addresses     Addresses
+	Peer          Peer
+	Accounts      []Account
+	Limits        Limits
+	Placement     Placement
 }
 
-// Platform locates the services of the platform.
+// Platform says how the platform is reached. The URLs have IP numbers.
 type Platform struct {
-	TableURL  string
-	ObjectURL string
-	ListURL   string
-	Timeout   time.Duration
-	AccessKey string
-	SecretKey string
+	TableURL, ObjectURL, ListURL string
+	Timeout                      time.Duration
+	AccessKey, SecretKey         Secret
 }
 
-// Cluster has what all entry VMs of a deployment must agree on.
+// Cluster has the times by which entry VMs agree on the owners of shards.
 type Cluster struct {
 	Shards       int
 	Lease        time.Duration
 	Renewal      time.Duration
 	Margin       time.Duration
 	BatchSpacing time.Duration
+	ReadInterval time.Duration
 }
 
-// Freshness limits the age of what a node knows.
+// Freshness limits the age of what new work is decided by.
 type Freshness struct {
 	Configuration time.Duration
 	Upstreams     time.Duration
+	Interval      time.Duration
+}
+
+// Addresses says which addresses callers are given.
+type Addresses struct {
+	// Retention has whole seconds.
+	Retention time.Duration
+	Count     int
+}
+
+// Peer has what entry VMs prove to each other.
+type Peer struct {
+	Key Secret
 }
 
-// Limits bound requests.
+// Account is a caller or an operator with its token.
+type Account struct {
+	chain.Account
+	Token Secret
+}
+
+// Limits bounds requests and the waits for them.
 type Limits struct {
-	Body         unit.Bytes
-	Call         time.Duration
+	BodyBytes    unit.Bytes
+	CallTime     time.Duration
 	FirstByte    time.Duration
 	BetweenBytes time.Duration
+	OwnerWait    time.Duration
+	QueueWait    time.Duration
+	Drain        time.Duration
 }
 
-// Account is a caller or operator with its token.
-type Account struct {
-	Token   string
-	Account chain.Account
+// Placement says how upstreams are chosen.
+type Placement struct {
+	Policy router.Policy
+	Seed   uint64
 }
--- /dev/null
+++ b/options.go
@@ -0,0 +1,31 @@
+package sassafrasspur
+
+import (
+	"io"
+	"os"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/settings"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+// Option changes how New builds a Node.
+type Option func(*Node)
+
+// WithSettings sets the checked settings of the node.
+func WithSettings(s settings.Settings) Option {
+	return func(n *Node) { n.settings = s }
+}
+
+// WithLog sets where log lines go; the default is the standard error.
+func WithLog(w io.Writer) Option {
+	return func(n *Node) { n.output = w }
+}
+
+// WithTimers sets the timer service; the default follows the system's clock.
+func WithTimers(t *timer.Service) Option {
+	return func(n *Node) { n.timers = t }
+}
+
+func defaults() *Node {
+	return &Node{output: os.Stderr, timers: timer.New()}
+}
