placer: reads that fail for long, missed joins and new addresses

Cause: with each mechanism switched off in turn on a scratch copy, five faults passed the state machine: a list view of any age, a load report of any age, a leaving flag in the list alone, a wait without limit and a cluster view of any age. Reads are now cut off until reconnected, a leave may show in one view only, deadlines are checked after each tick, and a missed join has a test. Ruled out: more random checks, because reads that fail at random are never 5 s apart.

--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -58,11 +58,11 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: time.Unix(1_000_000, 0), configuration: fleet(), leavingSince: map[ident.UpstreamID]time.Time{}}
+	w := &world{t: t, now: time.Unix(1_000_000, 0), configuration: fleet(), leaving: map[ident.UpstreamID]leave{}}
 	w.policy = pick(w, "policy", []router.Policy{
 		router.Product{}, router.Product{}, router.FirstCome{}, router.RoundRobin{}, router.LeastLoaded{}, router.CacheAffinity{},
 	})
-	for i := range 2 {
+	for i := range rapid.IntRange(1, 2).Draw(t, "nodes") {
 		w.add(ident.VMID(fmt.Sprintf("vm-%d", i)))
 	}
 	return w
@@ -124,6 +124,7 @@
 			n.wake = time.Time{}
 			n.do(message.Tick{})
 		}
+		n.checkDeadlines()
 		if reachable() {
 			n.deliver()
 		}
@@ -175,12 +176,17 @@
 		}),
 		"leave or come back": step(func() {
 			id := w.upstream().ID
-			if _, leaving := w.leavingSince[id]; leaving {
-				delete(w.leavingSince, id)
+			if _, leaving := w.leaving[id]; leaving {
+				delete(w.leaving, id)
 			} else {
-				w.leavingSince[id] = w.now
+				shown := rapid.IntRange(0, 2).Draw(w.t, "shown")
+				w.leaving[id] = leave{w.now, shown != 0, shown != 1}
 			}
 		}),
+		"cut off or reconnect": step(func() {
+			n, read := pick(w, "node", w.nodes), pick(w, "read", []string{"list", "load", "cluster"})
+			n.cut[read] = !n.cut[read]
+		}),
 		"hear of a leaving upstream": step(func() {
 			n, id := pick(w, "node", w.nodes), w.upstream().ID
 			if !w.now.Before(n.reported[id].at) {
@@ -201,7 +207,7 @@
 		}),
 		"join": step(func() {
 			if len(w.nodes) < 3 {
-				w.add("vm-2")
+				w.add(ident.VMID(fmt.Sprintf("vm-%d", len(w.nodes))))
 			}
 		}),
 	}
@@ -209,7 +215,7 @@
 
 // checkRecovery ends all trouble and expects the limits at the slots again.
 func (w *world) checkRecovery() {
-	clear(w.leavingSince)
+	clear(w.leaving)
 	next := *w.configuration
 	next.Version++
 	next.Upstreams = slices.Clone(next.Upstreams)
@@ -219,6 +225,7 @@
 	w.configuration = &next
 	reachable := func() bool { return true }
 	for _, n := range w.nodes {
+		clear(n.cut)
 		n.do(message.ConfigurationRead{StartedAt: w.now, Configuration: w.configuration})
 	}
 	// Each round has more calls than slots, so that every upstream is used.
@@ -262,4 +269,24 @@
 		})
 		Expect(steps).To(BeNumerically(">=", 10_000))
 	})
+
+	It("guards against a node that cannot see a new VM and lends the parts of the earlier VMs", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			w := newWorld(t)
+			run := func(seconds int) {
+				for range seconds {
+					w.advance(time.Second, func() bool { return true })
+					for _, n := range w.nodes {
+						for range 3 {
+							w.request(n)
+						}
+					}
+				}
+			}
+			run(12)
+			w.nodes[0].cut["cluster"] = true
+			w.add("vm-9")
+			run(20)
+		})
+	})
 })
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -1,6 +1,8 @@
 package placer_test
 
 import (
+	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -27,6 +29,8 @@
 	longestCall = 2500 * time.Millisecond
 )
 
+var errCut = errors.New("the read failed")
+
 // world is the truth that several placers see late. It is the oracle.
 type world struct {
 	t             *rapid.T
@@ -34,10 +38,15 @@
 	now           time.Time
 	nodes         []*node
 	configuration *configuration.Configuration
-	// leavingSince has the upstreams that are leaving in truth.
-	leavingSince map[ident.UpstreamID]time.Time
-	ticket       ident.Ticket
-	changedAt    time.Time
+	// leaving has the upstreams that are leaving in truth.
+	leaving map[ident.UpstreamID]leave
+	ticket  ident.Ticket
+}
+
+// leave says since when an upstream is leaving, and which reads show it.
+type leave struct {
+	since          time.Time
+	list, reported bool
 }
 
 type sight struct {
@@ -66,6 +75,12 @@
 	notices  map[ident.UpstreamID]time.Time
 	attempts map[[2]string][2]int
 	changed  map[ident.UpstreamID]bool
+	// cut has the reads that fail.
+	cut map[string]bool
+	// clusterAt is the last read of the members, learnedAt the first that
+	// showed as many as there are now.
+	clusterAt, learnedAt time.Time
+	members              int
 }
 
 func (w *world) add(vm ident.VMID) *node {
@@ -73,7 +88,7 @@
 		world: w, vm: vm,
 		waiting: map[ident.Ticket]message.GrantRequested{}, since: map[ident.Ticket]time.Time{},
 		held: map[ident.Grant]held{}, listed: map[ident.UpstreamID]sight{}, reported: map[ident.UpstreamID]sight{},
-		notices: map[ident.UpstreamID]time.Time{}, attempts: map[[2]string][2]int{},
+		notices: map[ident.UpstreamID]time.Time{}, attempts: map[[2]string][2]int{}, cut: map[string]bool{},
 	}
 	n.placer = placer.New(
 		placer.WithVM(vm), placer.WithPolicy(w.policy), placer.WithRegion("r1"), placer.WithSeed(uint64(len(w.nodes))),
@@ -81,7 +96,6 @@
 		placer.WithCancel(n.cancelled),
 	)
 	w.nodes = append(w.nodes, n)
-	w.changedAt = w.now
 	n.do(message.Started{})
 	n.do(message.ConfigurationRead{StartedAt: w.now, Configuration: w.configuration})
 	return n
@@ -130,15 +144,13 @@
 func (w *world) list() message.UpstreamsListed {
 	m := message.UpstreamsListed{StartedAt: w.now}
 	for _, u := range w.configuration.Upstreams {
-		_, leaving := w.leavingSince[u.ID]
-		m.States = append(m.States, message.UpstreamState{Address: u.Address, Leaving: leaving})
+		m.States = append(m.States, message.UpstreamState{Address: u.Address, Leaving: w.leaving[u.ID].list})
 	}
 	return m
 }
 
 func (w *world) load(id ident.UpstreamID) message.UpstreamReported {
-	_, leaving := w.leavingSince[id]
-	m := message.UpstreamReported{Upstream: id, StartedAt: w.now, Leaving: leaving}
+	m := message.UpstreamReported{Upstream: id, StartedAt: w.now, Leaving: w.leaving[id].reported}
 	for _, n := range w.nodes {
 		m.Running += n.count(id, "")
 	}
@@ -152,10 +164,18 @@
 	for _, m := range reads {
 		switch m := m.(type) {
 		case message.UpstreamsListed:
+			if n.cut["list"] {
+				n.do(message.UpstreamsListed{StartedAt: m.StartedAt, Err: errCut})
+				continue
+			}
 			for i, state := range m.States {
 				n.listed[n.configuration.Upstreams[i].ID] = sight{m.StartedAt, state.Leaving}
 			}
 		case message.UpstreamReported:
+			if n.cut["load"] {
+				n.do(message.UpstreamReported{Upstream: m.Upstream, StartedAt: m.StartedAt, Err: errCut})
+				continue
+			}
 			n.reported[m.Upstream] = sight{m.StartedAt, m.Leaving}
 			if !m.Leaving && m.StartedAt.After(n.notices[m.Upstream]) {
 				delete(n.notices, m.Upstream)
@@ -163,6 +183,13 @@
 		}
 		n.do(m)
 	}
+	if n.cut["cluster"] {
+		return
+	}
+	n.clusterAt = n.now
+	if n.members != len(n.nodes) {
+		n.members, n.learnedAt = len(n.nodes), n.now
+	}
 	var nodes []cluster.Node
 	for _, other := range n.nodes {
 		nodes = append(nodes, cluster.Node{VM: other.vm, State: cluster.Live})
@@ -204,8 +231,8 @@
 	}
 	n.held[o.Grant] = held{request, u.ID, n.now}
 	n.changed[u.ID] = true
-	if since, leaving := n.leavingSince[u.ID]; leaving && n.now.Sub(since) > viewLimit {
-		n.t.Fatalf("grant of %s, which has been leaving for %s", u.ID, n.now.Sub(since))
+	if l, leaving := n.leaving[u.ID]; leaving && n.now.Sub(l.since) > viewLimit {
+		n.t.Fatalf("grant of %s, which has been leaving for %s", u.ID, n.now.Sub(l.since))
 	}
 	if !n.usable(u) {
 		n.t.Fatalf("grant of %s, which the node knows to be leaving or does not know", u.ID)
@@ -260,14 +287,20 @@
 	}
 }
 
+// checkDeadlines looks for calls that wait longer than the limit.
+func (n *node) checkDeadlines() {
+	for ticket := range n.waiting {
+		if wait := n.now.Sub(n.since[ticket]); wait >= queueLimit {
+			n.t.Fatalf("ticket %d waits for %s", ticket, wait)
+		}
+	}
+}
+
 // checkWaiting looks for calls that wait although an upstream is free for them.
 func (n *node) checkWaiting() {
 	limits := n.limits()
 	_, affinity := n.policy.(router.CacheAffinity)
 	for ticket, request := range n.waiting {
-		if n.now.Sub(n.since[ticket]) > queueLimit && n.wake.After(n.now) {
-			n.t.Fatalf("ticket %d waits for %s", ticket, n.now.Sub(n.since[ticket]))
-		}
 		for _, u := range n.configuration.Upstreams {
 			if u.Pool != request.Pool || request.Retry || affinity || !n.usable(u) || n.count(u.ID, "") >= limits[u.ID] {
 				continue
@@ -281,21 +314,11 @@
 
 // mayBorrow is true if the quotient of the share alone permits it.
 func (n *node) mayBorrow(u configuration.Upstream, team ident.TeamID) bool {
-	ownerWaits := slices.ContainsFunc(slices.Collect(maps(n.waiting)), func(r message.GrantRequested) bool {
+	ownerWaits := slices.ContainsFunc(slices.Collect(maps.Values(n.waiting)), func(r message.GrantRequested) bool {
 		return r.Team == u.Team && r.Pool == u.Pool
 	})
-	return !ownerWaits && n.now.Sub(n.changedAt) > 20*time.Second && n.now.Sub(n.listed[u.ID].at) < time.Second &&
-		n.count(u.ID, team) < whole(u, team)/len(n.nodes)
-}
-
-func maps(m map[ident.Ticket]message.GrantRequested) func(func(message.GrantRequested) bool) {
-	return func(yield func(message.GrantRequested) bool) {
-		for _, v := range m {
-			if !yield(v) {
-				return
-			}
-		}
-	}
+	settled := n.members == len(n.nodes) && n.now.Sub(n.learnedAt) > 10*time.Second && n.now.Sub(n.clusterAt) < viewLimit
+	return !ownerWaits && settled && n.count(u.ID, team) < whole(u, team)/len(n.nodes)
 }
 
 func (n *node) giveBack(id ident.Grant, duration time.Duration, leaving bool) {
