placer: reuse the memory of the search for candidates

Ruled out: an index of free upstreams per team, because its upkeep is spread over every change of a view. The slices of the search are reused, and a pass repeats only when a team's last wait ended.

--- a/internal/placer/pass.go
+++ b/internal/placer/pass.go
@@ -12,8 +12,8 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/router"
 )
 
-// pass gives out what can be given out in a pool. It is repeated after progress,
-// because an answer to an owner can end a wait that held borrowers back.
+// pass gives out what can be given out in a pool. It is repeated when a team's
+// last wait ended, because that can have held borrowers back.
 func (r *round) pass(pool ident.PoolID) {
 	upstreams := r.placer.pools[pool]
 	r.check(upstreams)
@@ -40,17 +40,16 @@
 	}
 }
 
-// passOnce tries each waiting call once and reports whether one was answered.
+// passOnce tries each waiting call once and reports whether a team has no call
+// waiting any more.
 func (r *round) passOnce(q *queue, upstreams []*upstream) bool {
 	claims := q.claims()
-	answered := false
 	// idle has the teams for which no upstream is free; it saves the search for
 	// their other calls.
 	idle := map[ident.TeamID]bool{}
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		if r.now.Sub(w.since) >= r.placer.queueLimit {
 			r.refuse(w.request, limiter.Overloaded(r.placer.queueLimit, r.placer.random.Float64()))
-			answered = true
 			return true
 		}
 		plain := !w.request.Retry && len(w.request.Avoid) == 0
@@ -61,10 +60,9 @@
 		if plain && !free {
 			idle[w.request.Team] = true
 		}
-		answered = answered || done
 		return done
 	})
-	return answered
+	return len(q.claims()) < len(claims)
 }
 
 // place answers a waiting call if it can be answered. It reports whether it did
@@ -87,14 +85,12 @@
 	for _, cached := range w.request.Residents {
 		in.Computed = max(in.Computed, cached)
 	}
-	for _, o := range offers.usable {
-		in.Candidates = append(in.Candidates, o.candidate)
-		free = free || o.candidate.Free
-	}
+	in.Candidates = offers.candidates
+	free = slices.ContainsFunc(in.Candidates, func(k router.Candidate) bool { return k.Free })
 	switch d := c.router.Decide(in).(type) {
 	case router.Use:
 		c.turn++
-		r.grant(w, offers.usable[d.Index].upstream, d.Wait)
+		r.grant(w, offers.usable[d.Index], d.Wait)
 		return true, true
 	case router.Wait:
 		return false, free
@@ -113,14 +109,11 @@
 	return true, false
 }
 
-type offer struct {
-	upstream  *upstream
-	candidate router.Candidate
-}
-
-// offers are the upstreams that a call may use, now or later.
+// offers are the upstreams that a call may use, now or later, and their states
+// for the router. The slices are reused by the next call.
 type offers struct {
-	usable []offer
+	usable     []*upstream
+	candidates []router.Candidate
 	// unknown is true if an upstream may turn out to be usable, unpaid if the
 	// retry budget is all that is missing at one.
 	unknown bool
@@ -131,7 +124,7 @@
 	m message.GrantRequested, avoid []ident.UpstreamID, upstreams []*upstream, claims map[ident.TeamID]claim,
 ) offers {
 	c := r.placer
-	var result offers
+	result := offers{usable: c.offers.usable[:0], candidates: c.offers.candidates[:0]}
 	for _, u := range upstreams {
 		if u.leaving() || slices.Contains(avoid, u.configuration.ID) {
 			continue
@@ -158,10 +151,11 @@
 			result.unknown = true
 			continue
 		}
-		candidate := u.candidate(m.Residents[u.configuration.ID])
-		candidate.Free = permitted && u.inFlight < u.limit.Allowed(u.bounds())
-		result.usable = append(result.usable, offer{u, candidate})
+		free := permitted && u.inFlight < u.limit.Allowed(u.bounds())
+		result.usable = append(result.usable, u)
+		result.candidates = append(result.candidates, u.candidate(m.Residents[u.configuration.ID], free))
 	}
+	c.offers = result
 	return result
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -55,6 +55,8 @@
 	turn     uint64
 	budgets  map[budgetKey]limiter.Budget
 	members  members
+	// offers is the memory of the last search for candidates.
+	offers offers
 
 	listing  reading
 	nextRead time.Time
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -101,11 +101,12 @@
 		!u.reportedAt.IsZero() && now.Sub(u.reportedAt) <= limit
 }
 
-func (u *upstream) candidate(cached unit.Tokens) router.Candidate {
+func (u *upstream) candidate(cached unit.Tokens, free bool) router.Candidate {
 	return router.Candidate{
 		Upstream:         u.configuration.ID,
 		Region:           u.configuration.Region,
 		Slots:            u.configuration.Slots,
+		Free:             free,
 		Reported:         u.running,
 		WaitingTokens:    u.waitingTokens,
 		InFlight:         u.inFlight,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -120,8 +120,8 @@
 		return None{}
 	}
 	free := make([]int, 0, len(in.Candidates))
-	for i, c := range in.Candidates {
-		if c.Free {
+	for i := range in.Candidates {
+		if in.Candidates[i].Free {
 			free = append(free, i)
 		}
 	}
