settings, loader: checked TOML with one table of keys

Cause: the daemon needs settings whose errors are all reported in one run with file, line, key and remedy, and documentation that can't differ from the checks. One table in internal/settings has unit, default, bounds and purpose of each key; the loader and docs/settings.md are both made from it.

The TOML library gives positions of syntax errors only, so that the loader scans the text for the lines of keys. Ruled out: passing on the library's messages and quoting text values, since both may show a part of a token; decoding into structs, which stops at the first wrong type.

--- /dev/null
+++ b/internal/loader/loader_test.go
@@ -0,0 +1,134 @@
+package loader_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/tools/txtar"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/loader"
+	"github.com/sassafrasspur/sassafrasspur/internal/router"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// secret is a part of every token and key in the golden files.
+const secret = "s3cret"
+
+func TestLoader(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loader")
+}
+
+// cases returns the archive whose files are settings, each followed by errors.
+func cases() (string, *txtar.Archive) {
+	path := filepath.Join("testdata", "errors.txtar")
+	archive, err := txtar.ParseFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(len(archive.Files) % 2).To(BeZero())
+	return path, archive
+}
+
+// Guards against errors without a position or a remedy, files whose second
+// error shows only in the next run, and secrets in errors.
+var _ = It("reports all errors of a file with their positions", func() {
+	path, archive := cases()
+	for i := 0; i < len(archive.Files); i += 2 {
+		input, want := archive.Files[i], &archive.Files[i+1]
+		_, err := loader.New().Parse(input.Name, string(input.Data))
+		Expect(err).To(MatchError(errors.NotValid), input.Name)
+		got := err.Error() + "\n"
+		Expect(got).NotTo(ContainSubstring(secret), input.Name)
+		if *update {
+			want.Data = []byte(got)
+		}
+		Expect(got).To(Equal(string(want.Data)), input.Name+": run with -update and read the difference")
+	}
+	if *update {
+		Expect(os.WriteFile(path, txtar.Format(archive), 0o600)).To(Succeed())
+	}
+})
+
+// Guards against examples that the daemon refuses.
+var _ = It("loads the examples", func() {
+	for name, team := range map[string]string{"padang_bersama": "padang_bersama", "schoolmaal_loket": "schoolmaal_loket"} {
+		s, err := loader.New().Load("../../examples/" + name + ".toml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Accounts).NotTo(BeEmpty())
+		for _, account := range s.Accounts {
+			Expect(string(account.Team)).To(Equal(team))
+		}
+	}
+})
+
+// Guards against defaults that break a bound or a rule, values that are stored
+// at another key, and choices of the table that no code knows.
+var _ = It("loads a file with required keys only", func() {
+	text, err := os.ReadFile("testdata/minimal.toml")
+	Expect(err).NotTo(HaveOccurred())
+	s, err := loader.New().Parse("minimal.toml", string(text))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Cluster.Lease).To(Equal(6 * time.Second))
+	Expect(s.Cluster.Renewal).To(Equal(2 * time.Second))
+	Expect(s.Cluster.Shards).To(Equal(48))
+	Expect(s.Placement.Policy).To(Equal(router.Product{}))
+	Expect(s.PeerAddress.String()).To(Equal("127.0.0.1:0"))
+	Expect(s.Platform.TableURL).To(Equal("http://127.0.0.1:1"))
+	for _, policy := range []string{"product", "round_robin", "least_loaded", "cache_affinity", "fcfs"} {
+		s, err := loader.New().Parse("minimal.toml", string(text)+"\n[placement]\npolicy = \""+policy+"\"\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Placement.Policy).NotTo(BeNil())
+		Expect(s.Placement.Policy.String()).To(Equal(policy))
+	}
+	for _, level := range []string{"debug", "info", "warn", "error"} {
+		s, err := loader.New().Parse("minimal.toml", "log_level = \""+level+"\"\n"+string(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.LogLevel.String()).To(Equal(level))
+	}
+})
+
+// Guards against a settings file that exhausts memory or the stack.
+var _ = It("refuses files that are too long or missing", func() {
+	_, err := loader.New(loader.WithMaxBytes(10)).Parse("f", "vm = \"a-long-name\"")
+	Expect(err).To(MatchError(ContainSubstring("f:1: the file is too long")))
+	_, err = loader.New().Load("testdata/missing.toml")
+	Expect(err).To(MatchError(ContainSubstring("check the path")))
+	for _, deep := range []string{"a = " + strings.Repeat("[\n", 1<<20), strings.Repeat("a.", 1<<20) + "a = 1", "[a" + strings.Repeat(".a", 1<<20), "a = " + strings.Repeat("{a=", 1<<20)} {
+		_, err = loader.New().Parse("f", deep)
+		Expect(err).To(MatchError(ContainSubstring("nested too deeply")))
+	}
+})
+
+// Guards against panics and errors without a position in the file.
+func FuzzParse(f *testing.F) {
+	archive, err := txtar.ParseFile("testdata/errors.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		f.Add(string(file.Data))
+	}
+	f.Add("a=\"\"\"x\n\"\"\"\"\"\n[[a.b]]\n[a.b.c]\nd.'e' = [{f=1},\n{g=[2]}]")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := loader.New().Parse("fuzz.toml", text)
+		if err == nil {
+			return
+		}
+		problems, ok := err.(loader.Problems) //nolint:errorlint // the type itself is promised
+		if !ok || len(problems) == 0 {
+			t.Fatalf("%T: %v", err, err)
+		}
+		for _, p := range problems {
+			if p.File != "fuzz.toml" || p.Line < 1 || p.Line > strings.Count(text, "\n")+1 || p.Message == "" || strings.Contains(p.Error(), "\n") {
+				t.Fatalf("%+v", p)
+			}
+		}
+	})
+}
