--- /dev/null
+++ b/internal/meter/outcome.go
@@ -0,0 +1,37 @@
+package meter
+
+import (
+	"fmt"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+)
+
+// Outcome is how a call ended. The interface is sealed: the variants are
+// Answered, Replayed and Failed.
+type Outcome interface{ sealed() }
+
+type (
+	// Answered says that the caller received the end marker.
+	Answered struct{}
+	// Replayed says that a repeated call received the answer of the first.
+	Replayed struct{}
+	// Failed says that the caller received an error.
+	Failed struct{ Kind failure.Kind }
+)
+
+func (Answered) sealed() {}
+func (Replayed) sealed() {}
+func (Failed) sealed()   {}
+
+func label(outcome Outcome) string {
+	switch o := outcome.(type) {
+	case Answered:
+		return "answered"
+	case Replayed:
+		return "replayed"
+	case Failed:
+		return string(o.Kind)
+	default:
+		panic(fmt.Sprintf("unknown outcome %T", outcome))
+	}
+}
