sequencer: keep attempts of two epochs apart and hold open reservations after a handover

Ruled out: double charging at takeovers, which only spends too little. Change: messages about attempts carry the epoch; a new owner reserves for open calls; controllers iterate in a fixed order.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -11,6 +11,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/internal/request"
@@ -91,6 +92,16 @@
 	Chunks int
 }
 
+// Attempt returns the id of the attempt that the exchange is in. It is the zero
+// value for requests that are not calls.
+func (x *Exchange) Attempt() message.AttemptID {
+	call, ok := x.Request.(request.Call)
+	if !ok {
+		return message.AttemptID{}
+	}
+	return message.AttemptID{Program: call.Program, Call: call.Call, Epoch: x.Run.Epoch, Attempt: x.Run.Attempt}
+}
+
 // Handler is the rest of the chain as a filter sees it.
 type Handler func(ctx context.Context, x *Exchange) error
 
--- a/internal/filter/dispatcher/dispatcher.go
+++ b/internal/filter/dispatcher/dispatcher.go
@@ -81,9 +81,7 @@
 // durable, the call counts as dispatched: another owner would find the intent.
 func (d *Dispatcher) intend(ctx context.Context, x *chain.Exchange, call request.Call) error {
 	_, err := d.control.Ask(ctx, func(t ident.Ticket) message.Message {
-		return message.IntentRequested{
-			Ticket: t, Program: call.Program, Call: call.Call, Attempt: x.Run.Attempt, Upstream: x.Granted.Upstream.ID,
-		}
+		return message.IntentRequested{Ticket: t, AttemptID: x.Attempt(), Upstream: x.Granted.Upstream.ID}
 	})
 	if err == nil {
 		return nil
@@ -109,7 +107,7 @@
 
 func (d *Dispatcher) cancel(ctx context.Context, x *chain.Exchange, call request.Call) error {
 	_, err := d.control.Ask(ctx, func(t ident.Ticket) message.Message {
-		return message.CancelRequested{Ticket: t, Program: call.Program, Call: call.Call, Attempt: x.Run.Attempt}
+		return message.CancelRequested{Ticket: t, AttemptID: x.Attempt()}
 	})
 	if err != nil {
 		x.Dispatched, x.Result = true, chain.Unresolved{}
--- a/internal/filter/orderer/orderer.go
+++ b/internal/filter/orderer/orderer.go
@@ -120,22 +120,20 @@
 		if _, interrupted := x.Result.(chain.Interrupted); !interrupted || try == o.tries {
 			return o.giveUp(x, call, err)
 		}
-		if err := o.retry(limited, x, call); err != nil {
+		if err := o.retry(limited, x); err != nil {
 			return err
 		}
 	}
 }
 
 // retry charges an interrupted attempt and starts the next.
-func (o *Orderer) retry(ctx context.Context, x *chain.Exchange, call request.Call) error {
+func (o *Orderer) retry(ctx context.Context, x *chain.Exchange) error {
 	reply, err := o.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		return message.CallRetried{
-			Ticket:   t,
-			Program:  call.Program,
-			Call:     call.Call,
-			Attempt:  x.Run.Attempt,
-			Upstream: x.Granted.Upstream.ID,
-			Usage:    x.Answer.Usage,
+			Ticket:    t,
+			AttemptID: x.Attempt(),
+			Upstream:  x.Granted.Upstream.ID,
+			Usage:     x.Answer.Usage,
 		}
 	})
 	if err != nil {
@@ -163,17 +161,15 @@
 		// Beyond the lease, the caller may have repeated the call at another node
 		// that has run it by now.
 		failed.NotRun = x.Run.Fresh && o.control.Snapshot().Holds(call.Program, x.Run.Epoch, o.timers.Now())
-		o.control.Post(message.CallWithdrawn{Program: call.Program, Call: call.Call, Attempt: x.Run.Attempt, Err: &failed})
+		o.control.Post(message.CallWithdrawn{AttemptID: x.Attempt(), Err: &failed})
 		return &failed
 	}
 	failed.NotRun = false
 	o.control.Post(message.CallFailed{
-		Program:  call.Program,
-		Call:     call.Call,
-		Attempt:  x.Run.Attempt,
-		Upstream: x.Granted.Upstream.ID,
-		Usage:    x.Answer.Usage,
-		Err:      &failed,
+		AttemptID: x.Attempt(),
+		Upstream:  x.Granted.Upstream.ID,
+		Usage:     x.Answer.Usage,
+		Err:       &failed,
 	})
 	return &failed
 }
--- a/internal/filter/recorder/recorder.go
+++ b/internal/filter/recorder/recorder.go
@@ -35,13 +35,11 @@
 	}
 	_, err := r.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		return message.CallCompleted{
-			Ticket:   t,
-			Program:  call.Program,
-			Call:     call.Call,
-			Attempt:  x.Run.Attempt,
-			Upstream: x.Granted.Upstream.ID,
-			Answer:   x.Answer,
-			Resident: x.Resident,
+			Ticket:    t,
+			AttemptID: x.Attempt(),
+			Upstream:  x.Granted.Upstream.ID,
+			Answer:    x.Answer,
+			Resident:  x.Resident,
 		}
 	})
 	if err != nil && ctx.Err() != nil {
--- a/internal/message/traffic.go
+++ b/internal/message/traffic.go
@@ -70,40 +70,41 @@
 // WaitAbandoned says that nobody waits for the answer to a ticket any more.
 type WaitAbandoned struct{ Ticket ident.Ticket }
 
-// CallWithdrawn says that a call that was let run was never dispatched. It has
-// no durable intent.
-type CallWithdrawn struct {
+// AttemptID names one attempt of a call. The epoch keeps the attempts apart that
+// a node makes before and after it loses the shard.
+type AttemptID struct {
 	Program ident.ProgramID
 	Call    ident.CallID
+	Epoch   ident.Epoch
 	Attempt ident.Attempt
-	Err     *failure.Error
+}
+
+// CallWithdrawn says that a call that was let run was never dispatched. It has
+// no durable intent.
+type CallWithdrawn struct {
+	AttemptID
+	Err *failure.Error
 }
 
 // IntentRequested asks for a durable intent. Answered with outcome.Durable.
 type IntentRequested struct {
-	Ticket   ident.Ticket
-	Program  ident.ProgramID
-	Call     ident.CallID
-	Attempt  ident.Attempt
+	Ticket ident.Ticket
+	AttemptID
 	Upstream ident.UpstreamID
 }
 
 // CancelRequested asks for a durable cancel of an intent that was not
 // dispatched. Answered with outcome.Durable.
 type CancelRequested struct {
-	Ticket  ident.Ticket
-	Program ident.ProgramID
-	Call    ident.CallID
-	Attempt ident.Attempt
+	Ticket ident.Ticket
+	AttemptID
 }
 
 // CallCompleted reports the whole answer of an attempt. Answered with
 // outcome.Durable.
 type CallCompleted struct {
-	Ticket   ident.Ticket
-	Program  ident.ProgramID
-	Call     ident.CallID
-	Attempt  ident.Attempt
+	Ticket ident.Ticket
+	AttemptID
 	Upstream ident.UpstreamID
 	Answer   record.Answer
 	Resident bool
@@ -112,9 +113,7 @@
 // CallFailed reports an attempt without an answer. If the call is not
 // repeatable, its outcome is unknown from now on.
 type CallFailed struct {
-	Program  ident.ProgramID
-	Call     ident.CallID
-	Attempt  ident.Attempt
+	AttemptID
 	Upstream ident.UpstreamID
 	// Usage is what the failed attempt spent at most.
 	Usage record.Usage
@@ -124,10 +123,8 @@
 // CallRetried reports an attempt without an answer of a call that is to be run
 // again at once. Answered like CallArrived.
 type CallRetried struct {
-	Ticket   ident.Ticket
-	Program  ident.ProgramID
-	Call     ident.CallID
-	Attempt  ident.Attempt
+	Ticket ident.Ticket
+	AttemptID
 	Upstream ident.UpstreamID
 	// Usage is what the failed attempt spent at most.
 	Usage record.Usage
--- a/internal/nodetest/worker_test.go
+++ b/internal/nodetest/worker_test.go
@@ -52,7 +52,7 @@
 func (w *world) withdraw(k *worker) {
 	err := failure.New(failure.PlatformUnavailable, "withdrawn")
 	err.NotRun = k.run.Fresh && k.node.snapshot().Holds(k.client.program, k.run.Epoch, w.clock.Now())
-	k.node.handle(message.CallWithdrawn{Program: k.client.program, Call: k.call.id, Attempt: k.run.Attempt, Err: err})
+	k.node.handle(message.CallWithdrawn{AttemptID: k.attempt(), Err: err})
 	w.refused(k.client, k.call, err)
 }
 
@@ -69,7 +69,7 @@
 	}
 	k.stage = waitsForCancel
 	k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
-		return message.CancelRequested{Ticket: t, Program: k.client.program, Call: k.call.id, Attempt: k.run.Attempt}
+		return message.CancelRequested{Ticket: t, AttemptID: k.attempt()}
 	})
 }
 
@@ -77,26 +77,25 @@
 func (w *world) dispatch(k *worker, breaks bool) {
 	w.oracle.notef("%s dispatches %s (breaks: %v)", k.node.vm, k.call.id, breaks)
 	w.oracle.arrive(k.client.program, k.call.id, k.call.position, budgetCalls)
-	id, run := k.client.program, k.run
 	switch {
 	case !breaks:
 		k.stage = waitsForRecord
 		k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
 			return message.CallCompleted{
-				Ticket: t, Program: id, Call: k.call.id, Attempt: run.Attempt,
+				Ticket: t, AttemptID: k.attempt(),
 				Answer: record.Answer{Body: string(k.call.id), Usage: record.Usage{Calls: 1}},
 			}
 		})
 	case k.call.once:
 		w.drop(k)
 		err := failure.New(failure.OutcomeUnknown, "the upstream did not answer")
-		k.node.handle(message.CallFailed{Program: id, Call: k.call.id, Attempt: run.Attempt, Err: err})
+		k.node.handle(message.CallFailed{AttemptID: k.attempt(), Err: err})
 		w.refused(k.client, k.call, err)
 	default:
 		k.stage = waitsForRetry
 		k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
 			return message.CallRetried{
-				Ticket: t, Program: id, Call: k.call.id, Attempt: run.Attempt, Usage: record.Usage{Calls: 1},
+				Ticket: t, AttemptID: k.attempt(), Usage: record.Usage{Calls: 1},
 			}
 		})
 	}
--- a/internal/nodetest/world_test.go
+++ b/internal/nodetest/world_test.go
@@ -38,6 +38,10 @@
 	ticket ident.Ticket
 }
 
+func (k *worker) attempt() message.AttemptID {
+	return message.AttemptID{Program: k.client.program, Call: k.call.id, Epoch: k.run.Epoch, Attempt: k.run.Attempt}
+}
+
 // call is what a client sends.
 type call struct {
 	id       ident.CallID
@@ -216,7 +220,7 @@
 		if p.call.once {
 			k.stage = waitsForIntent
 			k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
-				return message.IntentRequested{Ticket: t, Program: c.program, Call: p.call.id, Attempt: answer.Attempt, Upstream: "u"}
+				return message.IntentRequested{Ticket: t, AttemptID: k.attempt(), Upstream: "u"}
 			})
 		}
 	case outcome.Replay:
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -8,6 +8,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -141,7 +143,8 @@
 func (r *Registrar) Describe(s *snapshot.Snapshot) {
 	s.Assignment = r.assignment.Clone()
 	s.Serving = len(r.serving)
-	for _, o := range r.nodes {
+	for _, vm := range slices.Sorted(maps.Keys(r.nodes)) {
+		o := r.nodes[vm]
 		if r.lapsed(o, 0) {
 			o.node.State = cluster.Closed
 		}
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -7,6 +7,9 @@
 package resolver
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -99,7 +102,8 @@
 
 func (r *Resolver) tick(now time.Time) []effect.Effect {
 	var effects []effect.Effect
-	for k, p := range r.pending {
+	for _, k := range slices.SortedFunc(maps.Keys(r.pending), compareKeys) {
+		p := r.pending[k]
 		if p.waiting {
 			continue
 		}
@@ -112,6 +116,10 @@
 	return effects
 }
 
+func compareKeys(a, b key) int {
+	return cmp.Or(cmp.Compare(a.program, b.program), cmp.Compare(a.call, b.call))
+}
+
 func (r *Resolver) try(now time.Time, k key, p *lookUp) []effect.Effect {
 	if r.configuration == nil {
 		p.nextAt = now.Add(p.delay)
--- a/internal/sequencer/lifecycle.go
+++ b/internal/sequencer/lifecycle.go
@@ -1,6 +1,8 @@
 package sequencer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -139,7 +141,7 @@
 		return nil
 	}
 	var effects []effect.Effect
-	for id := range m.Residents {
+	for _, id := range slices.Sorted(maps.Keys(m.Residents)) {
 		on, state, activity := s.find(id, "")
 		if state == nil || !state.Ended || activity.running != nil {
 			continue
@@ -158,11 +160,13 @@
 	}
 	s.expireAt = now.Add(s.expiryInterval)
 	effects := one(effect.WakeAt{Time: s.expireAt})
-	for _, on := range s.shards {
+	for _, shard := range slices.Sorted(maps.Keys(s.shards)) {
+		on := s.shards[shard]
 		if on.closing {
 			continue
 		}
-		for id, state := range on.programs {
+		for _, id := range slices.Sorted(maps.Keys(on.programs)) {
+			state := on.programs[id]
 			expired := !state.Budget.Expires.IsZero() && now.After(state.Budget.Expires)
 			if id.IsRoot() && expired && !state.Ended && !on.activity(id).ending {
 				effects = append(effects, s.end(on, state, 0, "budget exhausted: time")...)
--- a/internal/sequencer/progress.go
+++ b/internal/sequencer/progress.go
@@ -14,18 +14,19 @@
 )
 
 // current returns a program's running call if it is the given attempt.
-func (s *Sequencer) current(id ident.ProgramID, call ident.CallID, attempt ident.Attempt) (*shard, *program.State, *active, bool) {
-	on, state, activity := s.find(id, "")
+func (s *Sequencer) current(id message.AttemptID) (*shard, *program.State, *active, bool) {
+	on, state, activity := s.find(id.Program, "")
 	if state == nil || activity.running == nil {
 		return on, state, activity, false
 	}
 	r := activity.running
-	return on, state, activity, r.started && r.arrived.Request.Call == call && r.attempt == attempt
+	same := r.arrived.Request.Call == id.Call && r.attempt == id.Attempt && on.epoch == id.Epoch
+	return on, state, activity, same && r.started && !r.finishing
 }
 
 // intend records that a call is about to be dispatched.
 func (s *Sequencer) intend(now time.Time, m message.IntentRequested) []effect.Effect {
-	on, _, activity, ok := s.current(m.Program, m.Call, m.Attempt)
+	on, _, activity, ok := s.current(m.AttemptID)
 	if !ok || !now.Before(s.leaseUntil) {
 		// Nothing was handed to the journal, so that the call can't run.
 		return one(refuse(m.Ticket, failure.Refusal(failure.PlatformUnavailable, backoff,
@@ -46,7 +47,7 @@
 
 // cancel records that an intended call was not dispatched and never will be.
 func (s *Sequencer) cancel(m message.CancelRequested) []effect.Effect {
-	on, _, _, ok := s.current(m.Program, m.Call, m.Attempt)
+	on, _, _, ok := s.current(m.AttemptID)
 	if !ok {
 		return one(refuse(m.Ticket, unknownOutcome(m.Call)))
 	}
@@ -56,8 +57,8 @@
 
 // withdraw ends a call that was let run and was not dispatched.
 func (s *Sequencer) withdraw(now time.Time, m message.CallWithdrawn) []effect.Effect {
-	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
-	if !ok || activity.running.finishing {
+	on, state, activity, ok := s.current(m.AttemptID)
+	if !ok {
 		return nil
 	}
 	return s.finish(now, on, state, activity, func(ticket ident.Ticket) effect.Effect {
@@ -67,8 +68,8 @@
 
 // fail ends an attempt without an answer.
 func (s *Sequencer) fail(now time.Time, m message.CallFailed) []effect.Effect {
-	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
-	if !ok || activity.running.finishing {
+	on, state, activity, ok := s.current(m.AttemptID)
+	if !ok {
 		return nil
 	}
 	r := activity.running
@@ -122,8 +123,8 @@
 // retry charges a failed attempt and lets the same call run again, as far as
 // the budget covers one more attempt. Those that joined the call go on waiting.
 func (s *Sequencer) retry(now time.Time, m message.CallRetried) []effect.Effect {
-	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
-	if !ok || activity.running.finishing {
+	on, state, activity, ok := s.current(m.AttemptID)
+	if !ok {
 		return one(refuse(m.Ticket, notOwner()))
 	}
 	r := activity.running
@@ -150,7 +151,7 @@
 
 // complete records the whole answer of a call.
 func (s *Sequencer) complete(m message.CallCompleted) []effect.Effect {
-	on, state, activity, ok := s.current(m.Program, m.Call, m.Attempt)
+	on, state, activity, ok := s.current(m.AttemptID)
 	if !ok {
 		return s.late(m, on, state)
 	}
@@ -175,7 +176,7 @@
 func (s *Sequencer) late(m message.CallCompleted, on *shard, state *program.State) []effect.Effect {
 	if state != nil {
 		call, ok := state.Calls[m.Call]
-		if ok && call.Status == program.Unknown && call.Attempt == m.Attempt {
+		if ok && call.Status == program.Unknown && call.Attempt == m.Attempt && call.Epoch == m.Epoch {
 			resolved := record.Resolved{Program: m.Program, Call: m.Call, Ran: true, Answer: m.Answer, By: "late answer"}
 			return one(s.record(on, resolution{record: resolved, ticket: m.Ticket}, resolved))
 		}
@@ -225,7 +226,10 @@
 				continue
 			}
 			err := failure.New(failure.Overloaded, "the call was withdrawn before its dispatch; repeat it with the same call id")
-			return s.withdraw(now, message.CallWithdrawn{Program: id, Call: r.arrived.Request.Call, Attempt: r.attempt, Err: err})
+			return s.withdraw(now, message.CallWithdrawn{
+				AttemptID: message.AttemptID{Program: id, Call: r.arrived.Request.Call, Epoch: on.epoch, Attempt: r.attempt},
+				Err:       err,
+			})
 		}
 	}
 	return nil
--- a/internal/sequencer/shard.go
+++ b/internal/sequencer/shard.go
@@ -17,23 +17,37 @@
 // openShard starts to serve a shard. A shard with spans to replay was taken
 // over from an owner that did not hand it over.
 func (s *Sequencer) openShard(m message.ShardOpened) []effect.Effect {
-	m.Programs.Recover(len(m.Row.Spans) == 0)
+	handedOver := len(m.Row.Spans) == 0
+	m.Programs.Recover(handedOver)
 	on := &shard{id: m.Shard, epoch: m.Epoch, row: m.Row, programs: m.Programs, active: map[ident.ProgramID]*active{}}
 	s.shards[m.Shard] = on
 	effects := one(s.checkpoint(on))
-	for _, state := range on.programs {
+	for _, id := range slices.Sorted(maps.Keys(on.programs)) {
+		state := on.programs[id]
 		if state.Ended {
 			effects = append(effects, s.releaseAll(on, state)...)
 		}
-		for id, call := range state.Calls {
-			if call.Status == program.Unknown {
-				effects = append(effects, effect.Send{Message: lookUp(on, state, id)})
+		for _, call := range slices.Sorted(maps.Keys(state.Calls)) {
+			if state.Calls[call].Status == program.Unknown {
+				if handedOver {
+					s.holdUnsettled(on, id, call)
+				}
+				effects = append(effects, effect.Send{Message: lookUp(on, state, call)})
 			}
 		}
 	}
 	return effects
 }
 
+// holdUnsettled reserves what a call with an unknown outcome may have spent. At
+// a takeover that is part of the allowance, which counts as spent as a whole.
+func (s *Sequencer) holdUnsettled(on *shard, id ident.ProgramID, call ident.CallID) {
+	need := record.Allowance{Calls: 1}
+	on.activity(id).unsettled[call] = need
+	root := on.activity(id.Root())
+	root.reserved = add(root.reserved, need)
+}
+
 // closeShard prepares a handover: calls that run are finished, new ones wait
 // until the shard has its next owner or the window is over.
 func (s *Sequencer) closeShard(now time.Time, m message.ShardClosing) []effect.Effect {
@@ -154,15 +168,16 @@
 // were under way may or may not have taken effect before that.
 func (s *Sequencer) fenced() []effect.Effect {
 	var effects []effect.Effect
-	for _, w := range s.waits {
-		effects = append(effects, giveUp(w)...)
+	for _, token := range slices.Sorted(maps.Keys(s.waits)) {
+		effects = append(effects, giveUp(s.waits[token])...)
 	}
-	for _, on := range s.shards {
+	for _, id := range slices.Sorted(maps.Keys(s.shards)) {
+		on := s.shards[id]
 		for _, m := range on.parked {
 			effects = append(effects, refuse(m.Ticket, notOwner()))
 		}
-		for _, a := range on.active {
-			effects = append(effects, a.giveUp()...)
+		for _, program := range slices.Sorted(maps.Keys(on.active)) {
+			effects = append(effects, on.active[program].giveUp()...)
 		}
 	}
 	s.waits = map[message.Token]wait{}
--- a/internal/sequencer/waits.go
+++ b/internal/sequencer/waits.go
@@ -1,6 +1,8 @@
 package sequencer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -234,7 +236,7 @@
 
 func (s *Sequencer) releaseAll(on *shard, state *program.State) []effect.Effect {
 	var effects []effect.Effect
-	for upstream := range state.Residents {
+	for _, upstream := range slices.Sorted(maps.Keys(state.Residents)) {
 		effects = append(effects, effect.Send{Message: message.ReleaseWanted{
 			Program: state.ID, Upstream: upstream, Shard: on.id, Epoch: on.epoch,
 		}})
--- a/node.go
+++ b/node.go
@@ -58,7 +58,7 @@
 		option(n)
 	}
 	s := n.settings
-	n.log = logger.New(n.output, n.timers, s)
+	n.log = logger.New(n.output, s.VM, s.Domain, s.Region, logger.WithLevel(s.LogLevel), logger.WithTimer(n.timers))
 	peerListener, err := net.Listen("tcp", s.PeerAddress.String())
 	if err != nil {
 		return nil, errors.Annotate(err, "peer_address; choose a free address of this VM")
@@ -80,11 +80,11 @@
 	n.buildChain()
 	n.peers = server.New(peerListener,
 		server.WithVM(s.VM), server.WithKey([]byte(s.Peer.Key.Reveal())), server.WithHandler(n.chain.Serve),
-		server.WithGossiper(n.answerGossip), server.WithTimer(n.timers), server.WithLogger(n.log.Lines()))
+		server.WithGossiper(n.answerGossip), server.WithTimer(n.timers), server.WithLogger(n.log.Zerolog()))
 	n.web = &http.Server{Handler: n.handler(), ReadHeaderTimeout: headerLimit}
 	n.serving.Go(func() {
 		if err := n.web.Serve(n.callers); !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error("serving callers ended", err)
+			n.log.Failure(err).Error("serving callers ended")
 		}
 	})
 	return n, nil
@@ -99,7 +99,7 @@
 		objector.WithEndpoint(p.ObjectURL), objector.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), objector.WithTimeout(p.Timeout))
 	n.dialer = dialer.New(
 		dialer.WithVM(n.settings.VM), dialer.WithKey([]byte(n.settings.Peer.Key.Reveal())),
-		dialer.WithTimer(n.timers), dialer.WithLogger(n.log.Lines()))
+		dialer.WithTimer(n.timers), dialer.WithLogger(n.log.Zerolog()))
 }
 
 func (n *Node) handler() http.Handler {
@@ -107,7 +107,7 @@
 	chooser := addresser.New(addresser.WithRetention(s.Addresses.Retention), addresser.WithCount(s.Addresses.Count))
 	plans := confirmer.New(n.table, n.timers)
 	f := front.New(n.chain.Serve, n.identify.Serve, n.control.Snapshot, plans, n.timers, chooser,
-		front.WithMaxBody(s.Limits.BodyBytes), front.WithLog(n.log.Lines()))
+		front.WithMaxBody(s.Limits.BodyBytes), front.WithLog(n.log.Zerolog()))
 	mux := http.NewServeMux()
 	mux.Handle("/", f.Handler())
 	return mux
@@ -133,7 +133,7 @@
 	n.handOver(work)
 	err := n.close(work)
 	if err != nil {
-		n.log.Error("left with requests under way", err)
+		n.log.Failure(err).Error("left with requests under way")
 		return err
 	}
 	n.log.Info("left")
@@ -147,7 +147,7 @@
 	defer cancel()
 	n.await(limited, n.drained)
 	if !n.drained() {
-		n.log.Warn("shards were not handed over within the drain limit; another node takes them over", nil)
+		n.log.Warn("shards were not handed over within the drain limit; another node takes them over")
 	}
 }
 
