canceller, placer: stop borrowed calls whose upstream is reclaimed

Cause: the placer decided which borrowed calls an owner's reclaim ends, but nothing stopped them. Ruled out: a callback into traffic from the control goroutine; the decision is an effect like all others and the performer carries it out. Measured: the placer's state machine and the demo pass; no reclaim was run with real processes.

--- a/chain.go
+++ b/chain.go
@@ -28,7 +28,7 @@
 		orderer.New(n.control, n.timers, orderer.WithCallLimit(s.Limits.CallTime)),
 		admitter.New(n.control, n.timers),
 		recorder.New(n.control),
-		dispatcher.New(n.control, n.timers, engines, services),
+		dispatcher.New(n.control, n.timers, engines, services, n.canceller),
 	)
 }
 
--- a/control.go
+++ b/control.go
@@ -34,6 +34,7 @@
 		performer.WithPlatform(journaler.New(n.table, n.objects, n.timers), n.table, list),
 		performer.WithProber(upstreamprober.New(n.timers)),
 		performer.WithGossiper(n.dialer, n.news),
+		performer.WithCancel(n.canceller.Cancel),
 		performer.WithTimers(n.timers),
 	)
 	n.control = executor.New(
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -111,6 +111,10 @@
 	Epoch    ident.Epoch
 }
 
+// CancelGrant stops a borrowed call whose upstream is reclaimed. The call still
+// returns its grant.
+type CancelGrant struct{ Grant ident.Grant }
+
 // LookUp asks a service for the result of a call. Reported by message.LookedUp.
 type LookUp struct {
 	Program ident.ProgramID
@@ -134,4 +138,5 @@
 func (ReadLoad) sealed()          {}
 func (ReadCache) sealed()         {}
 func (Release) sealed()           {}
+func (CancelGrant) sealed()       {}
 func (LookUp) sealed()            {}
--- a/internal/filter/dispatcher/dispatcher.go
+++ b/internal/filter/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/canceller"
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/enginecaller"
@@ -40,16 +41,18 @@
 
 // Dispatcher sends calls to upstreams.
 type Dispatcher struct {
-	control  *executor.Executor
-	timers   *timer.Service
-	engines  Engines
-	services Services
-	prompter prompter.Prompter
+	control   *executor.Executor
+	timers    *timer.Service
+	engines   Engines
+	services  Services
+	canceller *canceller.Canceller
+	prompter  prompter.Prompter
 }
 
-// New returns the filter on the control goroutine and the two clients.
-func New(control *executor.Executor, timers *timer.Service, engines Engines, services Services) *Dispatcher {
-	return &Dispatcher{control: control, timers: timers, engines: engines, services: services}
+// New returns the filter on the control goroutine and the two clients. A call
+// that may be repeated is stopped when the canceller is told to.
+func New(control *executor.Executor, timers *timer.Service, engines Engines, services Services, c *canceller.Canceller) *Dispatcher {
+	return &Dispatcher{control: control, timers: timers, engines: engines, services: services, canceller: c}
 }
 
 // Serve dispatches the call and sets the exchange's result and answer.
@@ -68,6 +71,11 @@
 	}
 	x.Dispatched = true
 	x.Dispatches++
+	if x.Repeatable {
+		stoppable, release := d.canceller.Register(ctx, x.Granted.Grant)
+		defer release()
+		ctx = stoppable
+	}
 	switch x.Pool.Kind {
 	case configuration.EnginePool:
 		return d.callEngine(ctx, x, call)
--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
@@ -61,6 +62,7 @@
 	prober   Prober
 	gossiper Gossiper
 	news     func() news.News
+	cancel   func(ident.Grant)
 	timers   *timer.Service
 	limit    time.Duration
 }
@@ -84,6 +86,11 @@
 	return func(p *Performer) { p.gossiper, p.news = g, own }
 }
 
+// WithCancel sets what stops the dispatch that uses a grant.
+func WithCancel(cancel func(ident.Grant)) Option {
+	return func(p *Performer) { p.cancel = cancel }
+}
+
 // WithTimers sets the timer service.
 func WithTimers(t *timer.Service) Option {
 	return func(p *Performer) { p.timers = t }
@@ -96,7 +103,7 @@
 
 // New returns a performer.
 func New(options ...Option) *Performer {
-	p := &Performer{timers: timer.New(), limit: 30 * time.Second}
+	p := &Performer{timers: timer.New(), limit: 30 * time.Second, cancel: func(ident.Grant) {}}
 	for _, option := range options {
 		option(p)
 	}
@@ -128,6 +135,8 @@
 		return p.journal.ReadCluster(ctx)
 	case effect.ReadConfiguration:
 		return p.readConfiguration(ctx)
+	case effect.CancelGrant:
+		p.cancel(e.Grant)
 	case effect.Gossip:
 		return p.gossip(ctx, e)
 	case effect.ListUpstreams:
--- a/internal/placer/pass.go
+++ b/internal/placer/pass.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/lender"
 	"github.com/sassafrasspur/sassafrasspur/internal/limiter"
@@ -180,7 +181,7 @@
 		case lender.Cancel:
 			for _, id := range d.Grants {
 				r.placer.grants[id].held.Cancelled = true
-				r.placer.cancel(id)
+				r.emit(effect.CancelGrant{Grant: id})
 			}
 			// A later reclaim time of another loan is looked at with the next
 			// message; the returned grants bring one.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -34,7 +34,6 @@
 	reportInterval time.Duration
 	viewLimit      time.Duration
 	queueLimit     time.Duration
-	cancel         func(ident.Grant)
 
 	random  *rand.Rand
 	router  router.Router
@@ -93,11 +92,6 @@
 // wait are refused at once.
 func WithQueueLimit(d time.Duration) Option { return func(c *Placer) { c.queueLimit = d } }
 
-// WithCancel sets what stops a borrowed call that the owner reclaims. The call
-// still returns its grant. The function runs in the control goroutine and must
-// not block; a context.CancelFunc of the call does not.
-func WithCancel(cancel func(ident.Grant)) Option { return func(c *Placer) { c.cancel = cancel } }
-
 // New returns a placer.
 func New(options ...Option) *Placer {
 	c := &Placer{
@@ -106,7 +100,6 @@
 		reportInterval: defaultReportInterval,
 		viewLimit:      defaultViewLimit,
 		queueLimit:     defaultQueueLimit,
-		cancel:         func(ident.Grant) {},
 		upstreams:      map[ident.UpstreamID]*upstream{},
 		pools:          map[ident.PoolID][]*upstream{},
 		queues:         map[ident.PoolID]*queue{},
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -93,7 +93,6 @@
 	n.placer = placer.New(
 		placer.WithVM(vm), placer.WithPolicy(w.policy), placer.WithRegion("r1"), placer.WithSeed(uint64(len(w.nodes))),
 		placer.WithViewLimit(viewLimit), placer.WithQueueLimit(queueLimit),
-		placer.WithCancel(n.cancelled),
 	)
 	w.nodes = append(w.nodes, n)
 	n.do(message.Started{})
@@ -127,6 +126,8 @@
 					n.t.Fatalf("refusal says not run = %t, retry = %t", o.Err.NotRun, request.Retry)
 				}
 			}
+		case effect.CancelGrant:
+			n.cancelled(e.Grant)
 		case effect.WakeAt:
 			if n.wake.IsZero() || e.Time.Before(n.wake) {
 				n.wake = e.Time
--- a/node.go
+++ b/node.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/canceller"
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
 	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
 	"github.com/sassafrasspur/sassafrasspur/internal/confirmer"
@@ -36,12 +37,13 @@
 	timers   *timer.Service
 	log      *logger.Logger
 
-	table    *tabler.Tabler
-	objects  *objector.Objector
-	dialer   *dialer.Dialer
-	control  *executor.Executor
-	identify *chain.Chain
-	chain    *chain.Chain
+	table     *tabler.Tabler
+	objects   *objector.Objector
+	dialer    *dialer.Dialer
+	control   *executor.Executor
+	canceller *canceller.Canceller
+	identify  *chain.Chain
+	chain     *chain.Chain
 
 	callers     net.Listener
 	peerAddress string
@@ -97,6 +99,7 @@
 		tabler.WithEndpoint(p.TableURL), tabler.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), tabler.WithTimeout(p.Timeout))
 	n.objects = objector.New(
 		objector.WithEndpoint(p.ObjectURL), objector.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), objector.WithTimeout(p.Timeout))
+	n.canceller = canceller.New()
 	n.dialer = dialer.New(
 		dialer.WithVM(n.settings.VM), dialer.WithKey([]byte(n.settings.Peer.Key.Reveal())),
 		dialer.WithTimer(n.timers), dialer.WithLogger(n.log.Zerolog()))
