orderer, peer: refusals after a dispatch promise nothing

Cause: a retry that found its shard gone was reported as not_owner, which the locate filter takes as a sign that nothing ran; and a malformed forwarded request was refused as not run although an earlier one with its call id may have run. Ruled out: a flag on the exchange; the kind and the promise say it already. Measured: go test ./internal/peer/... passes.

--- a/internal/filter/orderer/orderer.go
+++ b/internal/filter/orderer/orderer.go
@@ -139,6 +139,10 @@
 	if err != nil {
 		failed := *failure.From(err)
 		failed.NotRun = false
+		if failed.Kind == failure.NotOwner {
+			// The locate filter takes not_owner as a sign that nothing ran.
+			failed.Kind = failure.NotDurable
+		}
 		return &failed
 	}
 	run, ok := reply.(outcome.Run)
--- a/internal/peer/dialer/dialer.go
+++ b/internal/peer/dialer/dialer.go
@@ -150,7 +150,7 @@
 func (d *Dialer) Forward(ctx context.Context, address string, x *chain.Exchange) error {
 	method, body, err := protocol.Encode(x)
 	if err != nil {
-		return failure.Refusal(failure.InvalidRequest, 0, "the request can't be forwarded: %v; report this", err)
+		return failure.New(failure.InvalidRequest, "the request can't be forwarded: %v; report this", err)
 	}
 	_, isCall := x.Request.(request.Call)
 	r := &relay{sink: x.Sink, call: protocol.CallOf(x.Request), isCall: isCall}
--- a/internal/peer/server/link.go
+++ b/internal/peer/server/link.go
@@ -188,7 +188,7 @@
 }
 
 func invalid(err error) error {
-	return failure.Refusal(failure.InvalidRequest, 0, "the forwarded request is not valid: %v; check that all entry VMs run the same release", err)
+	return failure.New(failure.InvalidRequest, "the forwarded request is not valid: %v; check that all entry VMs run the same release", err)
 }
 
 // notify closes the connection on an error, since a part of the message may
