registrar: compute the targets of shards only when the live VMs change

Each read of the cluster sorted all VMs for each shard and hashed a pair of them in each comparison. With 440 VMs and 3,520 shards this blocked the control goroutine for 2.9 s at each read, that is longer than the interval of 1 s. The targets are now kept as long as the live VMs are the same and found without sorting, and the shards of a VM are looked up only if its row lapsed. A trial compared the targets with those of the old code for 1 to 30 VMs and 1 to 384 shards: they are equal. A read now takes 1.1 ms at that size and 0.03 ms at 12 VMs with 48 shards (before 0.2 ms), on a machine with other load.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -6,7 +6,6 @@
 package assigner
 
 import (
-	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,36 +26,31 @@
 		return nil
 	}
 	capacity := (a.Shards + len(vms) - 1) / len(vms)
-	held := map[ident.VMID]int{}
+	held := make([]int, len(vms))
 	targets := make([]ident.VMID, a.Shards)
 	for shard := range targets {
-		for _, vm := range byScore(vms, ident.Shard(shard)) {
-			if held[vm] < capacity {
-				held[vm]++
-				targets[shard] = vm
-				break
-			}
-		}
+		best := choose(vms, ident.Shard(shard), func(i int) bool { return held[i] < capacity })
+		held[best]++
+		targets[shard] = vms[best]
 	}
 	return targets
 }
 
-func byScore(vms []ident.VMID, shard ident.Shard) []ident.VMID {
-	sorted := slices.Clone(vms)
-	score := func(vm ident.VMID) uint64 {
-		return xxhash.Sum64String(string(vm) + "/" + strconv.Itoa(int(shard)))
-	}
-	slices.SortFunc(sorted, func(a, b ident.VMID) int {
-		if x, y := score(a), score(b); x != y {
-			if x > y {
-				return -1
-			}
-			return 1
+// choose returns the index of the free VM with the highest score for a shard;
+// of equal scores that of the smallest id. There is always a free one, since
+// the capacities add up to at least the number of shards.
+func choose(vms []ident.VMID, shard ident.Shard, free func(int) bool) int {
+	best, highest := -1, uint64(0)
+	var key []byte
+	for i, vm := range vms {
+		if !free(i) {
+			continue
 		}
-		if a < b {
-			return -1
+		key = strconv.AppendInt(append(append(key[:0], vm...), '/'), int64(shard), 10)
+		score := xxhash.Sum64(key)
+		if best < 0 || score > highest || score == highest && vm < vms[best] {
+			best, highest = i, score
 		}
-		return 1
-	})
-	return sorted
+	}
+	return best
 }
--- a/internal/registrar/ownership.go
+++ b/internal/registrar/ownership.go
@@ -100,6 +100,17 @@
 	return vms
 }
 
+// targets returns the VM that should own each shard. It is computed again only
+// when the live VMs change: it takes a hash for each pair of VM and shard, and
+// is needed at each read of the cluster.
+func (r *Registrar) targets(vms []ident.VMID) []ident.VMID {
+	if r.targetsOf == nil || !slices.Equal(r.targetsOf, vms) {
+		r.targetsOf = vms
+		r.targetVMs = assigner.Assigner{Shards: r.shards}.Targets(vms)
+	}
+	return r.targetVMs
+}
+
 // takeOver gives the shards of one lapsed node to live ones.
 func (r *Registrar) takeOver() []effect.Effect {
 	if r.moving {
@@ -115,8 +126,10 @@
 	rank := time.Duration(max(slices.Index(vms, r.self.VM), 0))
 	for _, vm := range slices.Sorted(maps.Keys(r.nodes)) {
 		o := r.nodes[vm]
-		shards := r.assignment.OwnedBy(vm, o.node.Incarnation)
-		if len(shards) > 0 && r.lapsed(o, rank*rankDelay) {
+		if !r.lapsed(o, rank*rankDelay) {
+			continue
+		}
+		if shards := r.assignment.OwnedBy(vm, o.node.Incarnation); len(shards) > 0 {
 			return r.move(o.node, shards, vms)
 		}
 	}
@@ -140,7 +153,7 @@
 }
 
 func (r *Registrar) moveOrphans(orphans []ident.Shard, vms []ident.VMID) []effect.Effect {
-	targets := assigner.Assigner{Shards: r.shards}.Targets(vms)
+	targets := r.targets(vms)
 	next := r.assignment.Clone()
 	next.WriteID = r.writeID()
 	var moves []effect.Move
@@ -155,7 +168,7 @@
 // move closes a node's row and gives its shards away in one transaction, so
 // that no commit of the old owner can follow.
 func (r *Registrar) move(old cluster.Node, shards []ident.Shard, vms []ident.VMID) []effect.Effect {
-	targets := assigner.Assigner{Shards: r.shards}.Targets(vms)
+	targets := r.targets(vms)
 	next := r.assignment.Clone()
 	next.WriteID = r.writeID()
 	closed := old
@@ -190,7 +203,7 @@
 	if !r.joined {
 		return nil
 	}
-	targets := assigner.Assigner{Shards: r.shards}.Targets(r.alive())
+	targets := r.targets(r.alive())
 	if len(targets) == 0 {
 		return nil
 	}
@@ -212,7 +225,7 @@
 		return nil
 	}
 	vms := r.alive()
-	targets := assigner.Assigner{Shards: r.shards}.Targets(vms)
+	targets := r.targets(vms)
 	if len(targets) == 0 {
 		return nil
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -51,6 +51,8 @@
 	// postponed counts the handovers of a shard that were put off.
 	postponed map[ident.Shard]int
 	drained   map[ident.Shard]bool
+	// targetVMs are the owners at rest for the live VMs targetsOf.
+	targetsOf, targetVMs []ident.VMID
 	// moving is true while a change of owners is under way.
 	moving  bool
 	leaving bool
