sequencer: sort only the programs that expire

The search for programs whose time is over sorted the ids of all programs once a second. An index by expiry was ruled out: the scan alone is short enough.

--- a/internal/sequencer/lifecycle.go
+++ b/internal/sequencer/lifecycle.go
@@ -165,13 +165,23 @@
 		if on.closing {
 			continue
 		}
-		for _, id := range slices.Sorted(maps.Keys(on.programs)) {
-			state := on.programs[id]
-			expired := !state.Budget.Expires.IsZero() && now.After(state.Budget.Expires)
-			if id.IsRoot() && expired && !state.Ended && !on.activity(id).ending {
-				effects = append(effects, s.end(on, state, 0, "budget exhausted: time")...)
-			}
+		for _, id := range expired(on, now) {
+			effects = append(effects, s.end(on, on.programs[id], 0, "budget exhausted: time")...)
 		}
 	}
 	return effects
 }
+
+// expired returns the root programs of a shard whose time is over and whose end
+// is not recorded yet. Only these are sorted: the shard is searched each second.
+func expired(on *shard, now time.Time) []ident.ProgramID {
+	var ids []ident.ProgramID
+	for id, state := range on.programs {
+		over := !state.Budget.Expires.IsZero() && now.After(state.Budget.Expires)
+		if over && !state.Ended && id.IsRoot() && !on.activity(id).ending {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
