sequencer: do not copy the call table for each call

The start of a call copied the whole durable state of its program, of which only turns and residents are handed on; the call table has an entry for each turn. The copied turns still share their array, since turns are only ever appended.

--- a/internal/sequencer/arrival.go
+++ b/internal/sequencer/arrival.go
@@ -1,6 +1,7 @@
 package sequencer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -112,14 +113,13 @@
 	fresh := !r.arrived.Repeatable || r.arrived.First && activity.attempts[r.arrived.Request.Call] == 0
 	activity.attempts[r.arrived.Request.Call]++
 	r.attempt = activity.attempts[r.arrived.Request.Call]
-	view := state.Clone()
 	return answer(r.arrived.Ticket, outcome.Run{
 		Attempt:       r.attempt,
 		Epoch:         on.epoch,
 		Class:         state.Class,
-		History:       view.Turns,
-		HistoryTokens: view.HistoryTokens,
-		Residents:     view.Residents,
+		History:       state.Turns[:len(state.Turns):len(state.Turns)],
+		HistoryTokens: state.HistoryTokens,
+		Residents:     maps.Clone(state.Residents),
 		Served:        on.programs[state.ID.Root()].Spent.Tokens,
 		Fresh:         fresh,
 	})
