placer: look at one upstream for each load report if nothing waits

Each load report looked at all upstreams of its pool, and each upstream reports once per interval, so that the work grew with the square of a pool. The others are looked at by each tick and before each grant as before. Skipping the pass with calls waiting was ruled out, because a report can make an upstream usable for them.

--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -111,6 +111,12 @@
 		return
 	}
 	u.report(m)
+	if _, waiting := r.placer.queues[u.configuration.Pool]; !waiting {
+		// Each upstream reports once per interval, so that looking at the whole
+		// pool each time would take the square of its size.
+		r.check([]*upstream{u})
+		return
+	}
 	r.pass(u.configuration.Pool)
 }
 
