sassafrasspur, meterer, observer: metrics and logs of the running daemon

The daemon measured and logged nothing about calls, so an operator could not see queueing, first tokens or outcomes. A filter after identify measures each call at the VM that serves it; counting at every VM that relays was ruled out, because a forwarded call would count twice. Commits, the control loop, takeovers, handovers, fencing and outages are seen by an observer of the control goroutine, so that controllers stay free of metrics. GET /metrics wants an operator's token, since labels name all teams.

--- a/chain.go
+++ b/chain.go
@@ -8,6 +8,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/identifier"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/locator"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/meterer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
@@ -17,12 +18,15 @@
 func (n *Node) buildChain() {
 	s := n.settings
 	engines := enginecaller.New(n.timers,
-		enginecaller.WithFirstByte(s.Limits.FirstByte), enginecaller.WithBetween(s.Limits.BetweenBytes))
-	services := servicecaller.New(n.timers, servicecaller.WithLimit(s.Limits.FirstByte))
+		enginecaller.WithFirstByte(s.Limits.FirstByte), enginecaller.WithBetween(s.Limits.BetweenBytes),
+		enginecaller.WithCrossed(n.meter.CountCrossedAnswer))
+	services := servicecaller.New(n.timers, servicecaller.WithLimit(s.Limits.FirstByte),
+		servicecaller.WithCrossed(n.meter.CountCrossedAnswer))
 	identify := identifier.New(n.accounts())
 	n.identify = chain.New(identify)
 	n.chain = chain.New(
 		identify,
+		meterer.New(n.meter, n.log, n.timers),
 		locator.New(n.control.Snapshot, n.dialer, n.timers, locator.WithPatience(s.Limits.OwnerWait)),
 		manager.New(n.control),
 		orderer.New(n.control, n.timers, orderer.WithCallLimit(s.Limits.CallTime)),
--- a/control.go
+++ b/control.go
@@ -13,6 +13,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/journaler"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/observer"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/news"
 	"github.com/sassafrasspur/sassafrasspur/internal/performer"
 	"github.com/sassafrasspur/sassafrasspur/internal/placer"
@@ -29,7 +30,8 @@
 func (n *Node) startControl(self cluster.Node) {
 	s := n.settings
 	process := uuid.NewString()
-	list := lister.New(lister.WithEndpoint(s.Platform.ListURL), lister.WithTimeout(s.Platform.Timeout))
+	list := lister.New(lister.WithEndpoint(s.Platform.ListURL), lister.WithTimeout(s.Platform.Timeout),
+		lister.WithObserver(n.observePlatform))
 	work := performer.New(
 		performer.WithPlatform(journaler.New(n.table, n.objects, n.timers), n.table, list),
 		performer.WithProber(upstreamprober.New(n.timers)),
@@ -39,6 +41,7 @@
 	n.control = executor.New(
 		executor.WithTimers(n.timers),
 		executor.WithPerformer(work),
+		executor.WithObserver(observer.New(n.meter, n.log)),
 		executor.WithControllers(
 			committer.New(
 				committer.WithProcess(process),
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -67,6 +67,11 @@
 	Account Account
 	// Reply is the answer to a request that is not a call.
 	Reply outcome.Outcome
+	// Owner is the VM to which the last try forwarded the request; empty if it
+	// was served here.
+	Owner ident.VMID
+	// Queued is the time that the call waited for upstreams.
+	Queued time.Duration
 	// Pool and Repeatable are set by the order filter.
 	Pool       configuration.Pool
 	Repeatable bool
--- a/internal/enginecaller/caller.go
+++ b/internal/enginecaller/caller.go
@@ -55,6 +55,7 @@
 	pooled    *http.Client
 	fresh     *http.Client
 	crossed   atomic.Uint64
+	onCrossed func()
 }
 
 // Option changes how New builds a Caller.
@@ -75,6 +76,12 @@
 	return func(c *Caller) { c.resumes = count }
 }
 
+// WithCrossed sets what is called for each stream that is closed because an
+// event belonged to another request.
+func WithCrossed(count func()) Option {
+	return func(c *Caller) { c.onCrossed = count }
+}
+
 // New returns a Caller whose limits follow the timer service.
 func New(timers *timer.Service, options ...Option) *Caller {
 	c := &Caller{
@@ -82,6 +89,7 @@
 		firstByte: 30 * time.Second,
 		between:   5 * time.Second,
 		resumes:   3,
+		onCrossed: func() {},
 		pooled:    client(false),
 		fresh:     client(true),
 	}
@@ -122,6 +130,7 @@
 		}
 		if errors.Is(err, Crossed) {
 			c.crossed.Add(1)
+			c.onCrossed()
 		}
 		if attempt >= c.resumes || !run.resumable(ctx, err) {
 			return Result{}, run.classify(ctx, err, attempt > 0)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -38,6 +38,15 @@
 	Perform(e effect.Effect, post func(message.Message))
 }
 
+// Observer watches the control goroutine, which calls it. Its methods must not
+// block.
+type Observer interface {
+	// Handled tells how long the controllers took for a message.
+	Handled(now time.Time, m message.Message, took time.Duration)
+	// Published tells that a snapshot replaced another.
+	Published(before, after *snapshot.Snapshot)
+}
+
 // inboxSize bounds the messages that wait for the control goroutine. A sender
 // blocks when it is full, which slows traffic down but loses nothing.
 const inboxSize = 4096
@@ -52,6 +61,7 @@
 type Executor struct {
 	controllers []Controller
 	performer   Performer
+	observer    Observer
 	timers      *timer.Service
 	inbox       chan envelope
 	tickets     atomic.Uint64
@@ -74,6 +84,11 @@
 	return func(e *Executor) { e.performer = p }
 }
 
+// WithObserver sets what watches the control goroutine.
+func WithObserver(o Observer) Option {
+	return func(e *Executor) { e.observer = o }
+}
+
 // WithTimers sets the timer service.
 func WithTimers(t *timer.Service) Option {
 	return func(e *Executor) { e.timers = t }
--- a/internal/executor/loop.go
+++ b/internal/executor/loop.go
@@ -65,6 +65,9 @@
 				l.carryOut(e)
 			}
 		}
+		if o := l.executor.observer; o != nil {
+			o.Handled(now, next, l.executor.timers.Now().Sub(now))
+		}
 	}
 	if l.publish {
 		l.publish = false
@@ -72,7 +75,10 @@
 		for _, controller := range l.executor.controllers {
 			controller.Describe(view)
 		}
-		l.executor.view.Store(view)
+		before := l.executor.view.Swap(view)
+		if o := l.executor.observer; o != nil {
+			o.Published(before, view)
+		}
 	}
 }
 
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -62,6 +62,9 @@
 // Is reports whether target is the kind of e, for errors.Is.
 func (e *Error) Is(target error) bool { return target == e.Kind }
 
+// Is reports whether an error is of a kind.
+func Is(err error, kind Kind) bool { return err != nil && From(err).Kind == kind }
+
 // From returns the Error in err's chain, or an internal one that wraps err's
 // message. It returns nil for a nil err.
 func From(err error) *Error {
--- a/internal/filter/admitter/admitter.go
+++ b/internal/filter/admitter/admitter.go
@@ -88,6 +88,8 @@
 const bytesPerToken = 4
 
 func (a *Admitter) obtain(ctx context.Context, x *chain.Exchange, wanted message.GrantRequested) error {
+	asked := a.timers.Now()
+	defer func() { x.Queued += a.timers.Now().Sub(asked) }()
 	reply, err := a.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		wanted.Ticket = t
 		return wanted
--- a/internal/filter/locator/locator.go
+++ b/internal/filter/locator/locator.go
@@ -94,6 +94,7 @@
 }
 
 func (l *Locator) try(ctx context.Context, x *chain.Exchange, next chain.Handler) error {
+	x.Owner = ""
 	node, _, known := l.view().Owner(x.Request.Subject())
 	if !known {
 		return notOwned("no VM owns the program's shard at the moment")
@@ -104,6 +105,7 @@
 	if x.Forwarded {
 		return notOwned("the program's shard has another owner")
 	}
+	x.Owner = node.VM
 	return l.forwarder.Forward(ctx, node.PeerAddress, x)
 }
 
--- /dev/null
+++ b/internal/filter/meterer/meterer_test.go
@@ -0,0 +1,83 @@
+package meterer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/meterer"
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/logger"
+	"github.com/sassafrasspur/sassafrasspur/internal/meter"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/request"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+type observed struct{ text string }
+
+func (o *observed) ObserveCall(team ident.TeamID, class ident.Class, result meter.Outcome, queueing, firstToken, duration time.Duration) {
+	o.text += fmt.Sprintf("measured %s/%s %s %s %s %s ", team, class, meter.Label(result), queueing, firstToken, duration)
+}
+
+func (o *observed) ObserveRecomputed(_ ident.TeamID, _ ident.Class, tokens unit.Tokens) {
+	o.text += fmt.Sprintf("recomputed %d ", tokens)
+}
+
+type discard struct{}
+
+func (discard) Chunk(int, string) error { return nil }
+func (discard) Void() error             { return nil }
+func (discard) End(chain.End) error     { return nil }
+
+// Guards against calls that are counted twice or not at all when a VM relays
+// them, and against content of callers in the log.
+func TestCalls(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(goldentest.Check("testdata/*.txtar", func(line string) string {
+		f := goldentest.Parse(line)
+		clock := timer.NewManual(time.Unix(1_800_000_000, 0))
+		timers := timer.New(timer.WithManual(clock))
+		var log bytes.Buffer
+		seen := &observed{}
+		m := meterer.New(seen, logger.New(&log, "a", "n1", "noord", logger.WithTimer(timers)), timers)
+		x := &chain.Exchange{
+			Forwarded: f.Has("forwarded"),
+			Account:   chain.Account{Team: "desk"},
+			Request:   request.Call{Program: "trip", Request: record.Request{Call: "c1", Body: "secret"}},
+			Sink:      discard{},
+		}
+		if f.Has("show") {
+			x.Request = request.Show{Program: "trip"}
+		}
+		err := m.Serve(context.Background(), x, func(context.Context, *chain.Exchange) error {
+			clock.Advance(f.Duration("first"))
+			x.Owner = ident.VMID(f["owner"])
+			x.Queued = f.Duration("queued")
+			x.Run = outcome.Run{Attempt: ident.Attempt(f.Int("attempt")), Class: "chat", HistoryTokens: unit.Tokens(f.Int("history"))}
+			x.Granted.Upstream = configuration.Upstream{ID: ident.UpstreamID(f["upstream"])}
+			x.Resident, x.Answer.Usage.CachedTokens = f.Has("resident"), unit.Tokens(f.Int("cached"))
+			if f.Has("first") {
+				_ = x.Sink.Chunk(0, "secret")
+			}
+			clock.Advance(f.Duration("rest"))
+			if f.Has("fail") {
+				return failure.New(failure.Kind(f["fail"]), "secret")
+			}
+			return x.Sink.End(chain.End{Attempt: ident.Attempt(f.Int("ended"))})
+		})
+		g.Expect(failure.From(err) != nil).To(Equal(f.Has("fail")))
+		g.Expect(log.String()).NotTo(ContainSubstring("secret"))
+		return seen.text + string(bytes.TrimSpace(log.Bytes()))
+	})).To(Succeed())
+}
--- /dev/null
+++ b/internal/front/metrics.go
@@ -0,0 +1,28 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Guard serves a text to operators. Metrics have the names of all teams, which
+// callers must not see.
+func (f *Front) Guard(write func(io.Writer)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		ctx := context.WithValue(r.Context(), credentialKey{}, token)
+		if err := f.operator(ctx); err != nil {
+			p := format(ctx, err)
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(p.StatusCode())
+			if err := encoder(ctx, w).Encode(p); err != nil {
+				f.encodingFailed(ctx, w, err)
+			}
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		write(w)
+	})
+}
--- a/internal/journaler/ownership.go
+++ b/internal/journaler/ownership.go
@@ -117,11 +117,15 @@
 
 // Move changes owners in one transaction.
 func (j *Journaler) Move(ctx context.Context, e effect.MoveShards) message.MoveDone {
+	done := message.MoveDone{Verdict: message.Uncertain, Shards: len(e.Moves)}
+	if e.Close != nil {
+		done.Closed = e.Close.VM
+	}
 	writes, err := j.moveWrites(ctx, e)
-	if err != nil {
-		return message.MoveDone{Verdict: message.Uncertain}
+	if err == nil {
+		done.Verdict = j.table.Commit(ctx, writes)
 	}
-	return message.MoveDone{Verdict: j.table.Commit(ctx, writes)}
+	return done
 }
 
 func (j *Journaler) moveWrites(ctx context.Context, e effect.MoveShards) ([]table.Write, error) {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -59,6 +59,19 @@
 // Attempt adds the attempt of a call.
 func (l *Logger) Attempt(n ident.Attempt) *Logger { return l.Number("attempt", int64(n)) }
 
+// Upstream adds an upstream.
+func (l *Logger) Upstream(id ident.UpstreamID) *Logger { return l.text("upstream", string(id)) }
+
+// Peer adds another entry VM.
+func (l *Logger) Peer(id ident.VMID) *Logger { return l.text("peer", string(id)) }
+
+// Plan adds a plan.
+func (l *Logger) Plan(id ident.PlanID) *Logger { return l.text("plan", string(id)) }
+
+// Kind adds how a call ended, under the key that Failure uses. The kind is a
+// fixed text.
+func (l *Logger) Kind(kind string) *Logger { return l.text("kind", kind) }
+
 // Failure adds the kind of an error and whether the call certainly did not run.
 // The message is left out, because it may quote an upstream's answer. It adds
 // nothing for a nil error.
--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -123,7 +123,12 @@
 type ClusterReadFailed struct{}
 
 // MoveDone reports the result of effect.MoveShards.
-type MoveDone struct{ Verdict Verdict }
+type MoveDone struct {
+	Verdict Verdict
+	// Closed is the node whose row was closed; empty if none was.
+	Closed ident.VMID
+	Shards int
+}
 
 // ShardLoaded reports the state of a shard that was recovered.
 type ShardLoaded struct {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -84,7 +84,7 @@
 // ObserveCall counts a call that ended. The duration is from arrival to end. A
 // firstToken of 0 or less says that there was no token; it is not observed.
 func (m *Meter) ObserveCall(team ident.TeamID, class ident.Class, outcome Outcome, queueing, firstToken, duration time.Duration) {
-	s, counter := m.ofOutcome(team, class, label(outcome))
+	s, counter := m.ofOutcome(team, class, Label(outcome))
 	counter.Inc()
 	s.queueing.Update(queueing.Seconds())
 	s.call.Update(duration.Seconds())
--- a/internal/meter/outcome.go
+++ b/internal/meter/outcome.go
@@ -23,7 +23,8 @@
 func (Replayed) sealed() {}
 func (Failed) sealed()   {}
 
-func label(outcome Outcome) string {
+// Label returns the text of an outcome.
+func Label(outcome Outcome) string {
 	switch o := outcome.(type) {
 	case Answered:
 		return "answered"
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -25,6 +25,7 @@
 	requester *requester.Requester
 	endpoint  string
 	timeout   time.Duration
+	observe   func(*http.Request, error)
 }
 
 // Option changes how New builds a Lister.
@@ -36,13 +37,18 @@
 // WithTimeout bounds one request.
 func WithTimeout(d time.Duration) Option { return func(l *Lister) { l.timeout = d } }
 
+// WithObserver sets what is told of each request and its failure.
+func WithObserver(observe func(*http.Request, error)) Option {
+	return func(l *Lister) { l.observe = observe }
+}
+
 // New returns a client of the VM list.
 func New(options ...Option) *Lister {
-	l := &Lister{timeout: defaultTimeout}
+	l := &Lister{timeout: defaultTimeout, observe: func(*http.Request, error) {}}
 	for _, option := range options {
 		option(l)
 	}
-	l.requester = requester.New(requester.WithTimeout(l.timeout))
+	l.requester = requester.New(requester.WithTimeout(l.timeout), requester.WithObserver(l.observe))
 	return l
 }
 
--- a/internal/platform/objector/objector.go
+++ b/internal/platform/objector/objector.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -31,6 +32,7 @@
 	key      string
 	secret   string
 	timeout  time.Duration
+	observe  func(*http.Request, error)
 }
 
 // Option changes how New builds an Objector.
@@ -50,9 +52,14 @@
 // WithTimeout bounds one request.
 func WithTimeout(d time.Duration) Option { return func(o *Objector) { o.timeout = d } }
 
+// WithObserver sets what is told of each request and its failure.
+func WithObserver(observe func(*http.Request, error)) Option {
+	return func(o *Objector) { o.observe = observe }
+}
+
 // New returns a client of the object store.
 func New(options ...Option) *Objector {
-	o := &Objector{region: defaultRegion, timeout: defaultTimeout}
+	o := &Objector{region: defaultRegion, timeout: defaultTimeout, observe: func(*http.Request, error) {}}
 	for _, option := range options {
 		option(o)
 	}
@@ -62,7 +69,7 @@
 		Credentials:  credentials.NewStaticCredentialsProvider(o.key, o.secret, ""),
 		UsePathStyle: true,
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   requester.New(requester.WithTimeout(o.timeout)),
+		HTTPClient:   requester.New(requester.WithTimeout(o.timeout), requester.WithObserver(o.observe)),
 		// The published protocol of the platform has no checksum trailers.
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -29,6 +29,7 @@
 	client    *http.Client
 	transport *http.Transport
 	timeout   time.Duration
+	observe   func(request *http.Request, err error)
 }
 
 // Option changes how New builds a Requester.
@@ -39,9 +40,15 @@
 	return func(r *Requester) { r.timeout = d }
 }
 
+// WithObserver sets what is told of each request whose header or failure came
+// back.
+func WithObserver(observe func(request *http.Request, err error)) Option {
+	return func(r *Requester) { r.observe = observe }
+}
+
 // New returns a Requester.
 func New(options ...Option) *Requester {
-	r := &Requester{timeout: defaultTimeout}
+	r := &Requester{timeout: defaultTimeout, observe: func(*http.Request, error) {}}
 	for _, option := range options {
 		option(r)
 	}
@@ -67,6 +74,7 @@
 		return nil, errors.Trace(err)
 	}
 	response, err := r.client.Do(request)
+	r.observe(request, err)
 	if err != nil {
 		r.transport.CloseIdleConnections()
 		return nil, errors.Trace(err)
--- a/internal/platform/tabler/tabler.go
+++ b/internal/platform/tabler/tabler.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -40,6 +41,7 @@
 	key      string
 	secret   string
 	timeout  time.Duration
+	observe  func(*http.Request, error)
 }
 
 // Option changes how New builds a Tabler.
@@ -59,9 +61,14 @@
 // WithTimeout bounds one request. Commit sends up to two.
 func WithTimeout(d time.Duration) Option { return func(t *Tabler) { t.timeout = d } }
 
+// WithObserver sets what is told of each request and its failure.
+func WithObserver(observe func(*http.Request, error)) Option {
+	return func(t *Tabler) { t.observe = observe }
+}
+
 // New returns a client of the table service.
 func New(options ...Option) *Tabler {
-	t := &Tabler{region: defaultRegion, timeout: defaultTimeout}
+	t := &Tabler{region: defaultRegion, timeout: defaultTimeout, observe: func(*http.Request, error) {}}
 	for _, option := range options {
 		option(t)
 	}
@@ -70,7 +77,7 @@
 		Region:       t.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(t.key, t.secret, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   requester.New(requester.WithTimeout(t.timeout)),
+		HTTPClient:   requester.New(requester.WithTimeout(t.timeout), requester.WithObserver(t.observe)),
 	})
 	return t
 }
--- a/internal/servicecaller/caller.go
+++ b/internal/servicecaller/caller.go
@@ -39,11 +39,12 @@
 
 // Caller calls services. It is safe for concurrent use.
 type Caller struct {
-	timers  *timer.Service
-	limit   time.Duration
-	size    unit.Bytes
-	client  *http.Client
-	crossed atomic.Uint64
+	timers    *timer.Service
+	limit     time.Duration
+	size      unit.Bytes
+	client    *http.Client
+	crossed   atomic.Uint64
+	onCrossed func()
 }
 
 // Option changes how New builds a Caller.
@@ -59,14 +60,21 @@
 	return func(c *Caller) { c.size = size }
 }
 
+// WithCrossed sets what is called for each answer that belonged to another
+// call.
+func WithCrossed(count func()) Option {
+	return func(c *Caller) { c.onCrossed = count }
+}
+
 // New returns a Caller whose limit follows the timer service.
 func New(timers *timer.Service, options ...Option) *Caller {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	c := &Caller{
-		timers: timers,
-		limit:  30 * time.Second,
-		size:   4 << 20,
+		timers:    timers,
+		limit:     30 * time.Second,
+		size:      4 << 20,
+		onCrossed: func() {},
 		client: &http.Client{
 			// net/http resends a request whose kept-alive connection was
 			// closed; without keep-alives there is no such connection.
@@ -107,6 +115,7 @@
 	}
 	if reply.Program != request.Program || reply.Call != request.Call || reply.Attempt != request.Attempt {
 		c.crossed.Add(1)
+		c.onCrossed()
 		return Result{}, Unknown{Cause: Crossed}
 	}
 	if reply.Answer.Failed != (response.StatusCode == http.StatusUnprocessableEntity) {
--- a/node.go
+++ b/node.go
@@ -18,6 +18,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/front"
 	"github.com/sassafrasspur/sassafrasspur/internal/logger"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/meter"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/dialer"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/server"
 	"github.com/sassafrasspur/sassafrasspur/internal/platform/objector"
@@ -35,6 +36,7 @@
 	output   io.Writer
 	timers   *timer.Service
 	log      *logger.Logger
+	meter    *meter.Meter
 
 	table    *tabler.Tabler
 	objects  *objector.Objector
@@ -59,6 +61,7 @@
 	}
 	s := n.settings
 	n.log = logger.New(n.output, s.VM, s.Domain, s.Region, logger.WithLevel(s.LogLevel), logger.WithTimer(n.timers))
+	n.meter = meter.New()
 	peerListener, err := net.Listen("tcp", s.PeerAddress.String())
 	if err != nil {
 		return nil, errors.Annotate(err, "peer_address; choose a free address of this VM")
@@ -94,9 +97,11 @@
 func (n *Node) connect() {
 	p := n.settings.Platform
 	n.table = tabler.New(
-		tabler.WithEndpoint(p.TableURL), tabler.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), tabler.WithTimeout(p.Timeout))
+		tabler.WithEndpoint(p.TableURL), tabler.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), tabler.WithTimeout(p.Timeout),
+		tabler.WithObserver(n.observePlatform))
 	n.objects = objector.New(
-		objector.WithEndpoint(p.ObjectURL), objector.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), objector.WithTimeout(p.Timeout))
+		objector.WithEndpoint(p.ObjectURL), objector.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), objector.WithTimeout(p.Timeout),
+		objector.WithObserver(n.observePlatform))
 	n.dialer = dialer.New(
 		dialer.WithVM(n.settings.VM), dialer.WithKey([]byte(n.settings.Peer.Key.Reveal())),
 		dialer.WithTimer(n.timers), dialer.WithLogger(n.log.Zerolog()))
@@ -110,6 +115,7 @@
 		front.WithMaxBody(s.Limits.BodyBytes), front.WithLog(n.log.Zerolog()))
 	mux := http.NewServeMux()
 	mux.Handle("/", f.Handler())
+	mux.Handle("GET /metrics", f.Guard(n.meter.WritePrometheus))
 	return mux
 }
 
