provisioner, planner, front: carry out orders and keep teams apart

Plans with orders to engines were refused, and an operator could change any team's upstreams. Orders are now a part of the configuration: the owner of the upstream's shard sends them with the version of their plan as the fencing number and repeats them until the engine confirms. Sending them once at the confirmation was ruled out, because a node that dies would lose them. The planner refuses with kind forbidden what another team owns, plans are seen and confirmed by their own team, and resolutions carry the operator's team. A repeated resolution with the same result succeeds.

--- a/control.go
+++ b/control.go
@@ -18,6 +18,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/performer"
 	"github.com/sassafrasspur/sassafrasspur/internal/placer"
 	"github.com/sassafrasspur/sassafrasspur/internal/platform/lister"
+	"github.com/sassafrasspur/sassafrasspur/internal/provisioner"
 	"github.com/sassafrasspur/sassafrasspur/internal/registrar"
 	"github.com/sassafrasspur/sassafrasspur/internal/releaser"
 	"github.com/sassafrasspur/sassafrasspur/internal/resolver"
@@ -67,6 +68,7 @@
 			),
 			releaser.New(),
 			resolver.New(),
+			provisioner.New(provisioner.WithShards(s.Cluster.Shards)),
 		),
 	)
 }
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -17,6 +17,8 @@
 	Upstreams []Upstream    `json:"upstreams"`
 	Classes   []Class       `json:"classes"`
 	Weights   Weights       `json:"weights"`
+	// Orders are what engines are to load and be, in the order of the plans.
+	Orders []Order `json:"orders,omitempty"`
 }
 
 // Team owns upstreams and limits the budget of its programs.
@@ -95,6 +97,28 @@
 	TransferredKilobyte time.Duration `json:"transferred_kilobyte"`
 }
 
+// OrderKind says what an order changes at an engine.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	LoadModel   OrderKind = "load_model"
+	LoadAdapter OrderKind = "load_adapter"
+	SetRole     OrderKind = "set_role"
+)
+
+// Order is a desired state of an engine.
+type Order struct {
+	Upstream ident.UpstreamID `json:"upstream"`
+	Kind     OrderKind        `json:"kind"`
+	// Name is the model, the model and its adapter with a slash between them, or
+	// the role.
+	Name string `json:"name"`
+	// Epoch is the version that the plan of the order put in force. Engines
+	// refuse an order that is older than one that they have seen.
+	Epoch ident.Epoch `json:"epoch"`
+}
+
 // Pool returns the pool with an id.
 func (c *Configuration) Pool(id ident.PoolID) (Pool, bool) {
 	i := slices.IndexFunc(c.Pools, func(p Pool) bool { return p.ID == id })
--- a/internal/confirmer/confirmer.go
+++ b/internal/confirmer/confirmer.go
@@ -34,12 +34,11 @@
 
 // Confirmer stores plans and confirms them.
 type Confirmer struct {
-	table   Table
-	planner planner.Planner
-	newID   func() string
-	timers  *timer.Service
-	pause   time.Duration
-	tries   int
+	table  Table
+	newID  func() string
+	timers *timer.Service
+	pause  time.Duration
+	tries  int
 }
 
 // Option changes how New builds a Confirmer.
@@ -71,6 +70,9 @@
 type stored struct {
 	Plan   planner.Plan `json:"plan"`
 	Intent string       `json:"intent"`
+	// Team is the team of the operator who created the plan. Operators of other
+	// teams neither see nor confirm it.
+	Team ident.TeamID `json:"team"`
 	// Base is the configuration from which the plan was computed.
 	Base *configuration.Configuration `json:"base"`
 	// Digest is the hash of the new configuration. It tells if another release
@@ -79,13 +81,14 @@
 	Confirmed bool   `json:"confirmed"`
 }
 
-// Create computes the plan of an intent in TOML and stores it.
-func (c *Confirmer) Create(ctx context.Context, text string) (planner.Plan, error) {
+// Create computes the plan of an intent in TOML for an operator of a team and
+// stores it.
+func (c *Confirmer) Create(ctx context.Context, team ident.TeamID, text string) (planner.Plan, error) {
 	current, err := c.current(ctx)
 	if err != nil {
 		return planner.Plan{}, err
 	}
-	s := stored{Plan: planner.Plan{ID: ident.PlanID(c.newID())}, Intent: text, Base: current}
+	s := stored{Plan: planner.Plan{ID: ident.PlanID(c.newID())}, Intent: text, Team: team, Base: current}
 	plan, err := c.compute(s)
 	if err != nil {
 		return planner.Plan{}, err
@@ -112,9 +115,9 @@
 	return failure.New(failure.PlatformUnavailable, "plan %s was perhaps not stored; create the plan again, which changes nothing else", s.Plan.ID)
 }
 
-// Show returns a plan and whether it is confirmed.
-func (c *Confirmer) Show(ctx context.Context, id ident.PlanID) (planner.Plan, bool, error) {
-	s, _, err := c.load(ctx, id)
+// Show returns a plan of a team and whether it is confirmed.
+func (c *Confirmer) Show(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, bool, error) {
+	s, _, err := c.load(ctx, team, id)
 	if err != nil {
 		return planner.Plan{}, false, err
 	}
@@ -122,17 +125,17 @@
 	return plan, s.Confirmed, err
 }
 
-// Confirm puts a plan in force. A plan that is confirmed already is returned
+// Confirm puts a plan of a team in force. A plan that is confirmed already is returned
 // again. Errors of a plan whose base was replaced have the kind
 // failure.PlanStale.
-func (c *Confirmer) Confirm(ctx context.Context, id ident.PlanID) (planner.Plan, error) {
+func (c *Confirmer) Confirm(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, error) {
 	var last error
 	uncertain := false
 	for try := range c.tries {
 		if err := c.wait(ctx, try); err != nil {
 			return planner.Plan{}, err
 		}
-		plan, verdict, err := c.confirmOnce(ctx, id)
+		plan, verdict, err := c.confirmOnce(ctx, team, id)
 		switch {
 		case err == nil && verdict == message.Committed:
 			return plan, nil
@@ -151,7 +154,7 @@
 }
 
 // confirmOnce reads where the plan stands and tries to confirm it if it is open.
-func (c *Confirmer) confirmOnce(ctx context.Context, id ident.PlanID) (planner.Plan, message.Verdict, error) {
+func (c *Confirmer) confirmOnce(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, message.Verdict, error) {
 	// The configuration is read first. If it is not the base any more, then
 	// this plan's transaction is decided, and the plan's row, which is read
 	// later, shows how.
@@ -159,7 +162,7 @@
 	if err != nil {
 		return planner.Plan{}, "", err
 	}
-	s, version, err := c.load(ctx, id)
+	s, version, err := c.load(ctx, team, id)
 	if err != nil {
 		return planner.Plan{}, "", err
 	}
@@ -219,7 +222,7 @@
 	return current, nil
 }
 
-func (c *Confirmer) load(ctx context.Context, id ident.PlanID) (stored, ident.Version, error) {
+func (c *Confirmer) load(ctx context.Context, team ident.TeamID, id ident.PlanID) (stored, ident.Version, error) {
 	row, ok, err := c.table.Get(ctx, table.PlanKind, string(id))
 	if err != nil {
 		return stored{}, 0, unread(err)
@@ -231,6 +234,9 @@
 	if err := json.Unmarshal(row.Body, &s); err != nil {
 		return stored{}, 0, failure.New(failure.Internal, "the row of plan %s can't be decoded: %v; create the plan again", id, err)
 	}
+	if s.Team != team {
+		return stored{}, 0, failure.Refusal(failure.Forbidden, 0, "plan %s is one of another team; use the credential of an operator of the team that created it", id)
+	}
 	return s, row.Version, nil
 }
 
@@ -240,7 +246,7 @@
 	if err != nil {
 		return planner.Plan{}, err
 	}
-	plan, err := c.planner.Plan(s.Base, wanted)
+	plan, err := planner.Planner{Team: s.Team}.Plan(s.Base, wanted)
 	if err != nil {
 		return planner.Plan{}, err
 	}
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -119,6 +119,9 @@
 	Address string
 }
 
+// Order gives an engine an order. Reported by message.OrderDone.
+type Order struct{ message.OrderID }
+
 func (Answer) sealed()            {}
 func (Send) sealed()              {}
 func (WakeAt) sealed()            {}
@@ -135,3 +138,4 @@
 func (ReadCache) sealed()         {}
 func (Release) sealed()           {}
 func (LookUp) sealed()            {}
+func (Order) sealed()             {}
--- a/internal/filter/manager/manager.go
+++ b/internal/filter/manager/manager.go
@@ -73,7 +73,7 @@
 	case request.Resolve:
 		return func(t ident.Ticket) message.Message {
 			answer := record.Answer{Body: r.Answer, Usage: record.Usage{Calls: 1}}
-			return message.ResolveCall{Ticket: t, Program: r.Program, Call: r.Call, Ran: r.Ran, Answer: answer, By: string(r.Plan)}
+			return message.ResolveCall{Ticket: t, Program: r.Program, Team: team, Call: r.Call, Ran: r.Ran, Answer: answer, By: string(r.Plan)}
 		}, nil
 	}
 	return nil, failure.New(failure.Internal, "request type %T is not served; report this", x.Request)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -36,10 +36,11 @@
 
 // Plans stores plans and confirms them. Errors have a kind of package failure.
 type Plans interface {
-	Create(ctx context.Context, intent string) (planner.Plan, error)
-	// Show returns a plan and whether it is confirmed.
-	Show(ctx context.Context, id ident.PlanID) (planner.Plan, bool, error)
-	Confirm(ctx context.Context, id ident.PlanID) (planner.Plan, error)
+	// Create stores the plan of an intent of a team's operator.
+	Create(ctx context.Context, team ident.TeamID, intent string) (planner.Plan, error)
+	// Show returns a plan of a team and whether it is confirmed.
+	Show(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, bool, error)
+	Confirm(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, error)
 }
 
 // Front serves the HTTP interface.
@@ -52,7 +53,6 @@
 	addresser *addresser.Addresser
 	maxBody   unit.Bytes
 	free      func() map[ident.VMID]unit.Ratio
-	orders    func(context.Context, planner.Order) error
 	log       zerolog.Logger
 }
 
@@ -70,12 +70,6 @@
 	return func(f *Front) { f.free = free }
 }
 
-// WithOrders sets what carries out the orders to upstreams of a confirmed plan.
-// Without it, plans with such orders are refused.
-func WithOrders(carryOut func(context.Context, planner.Order) error) Option {
-	return func(f *Front) { f.orders = carryOut }
-}
-
 // WithLog sets the log. Without it nothing is logged.
 func WithLog(log zerolog.Logger) Option {
 	return func(f *Front) { f.log = log }
@@ -154,16 +148,16 @@
 	return x.Account, nil
 }
 
-// operator refuses accounts that are not operators.
-func (f *Front) operator(ctx context.Context) error {
+// operator identifies an operator and refuses other accounts.
+func (f *Front) operator(ctx context.Context) (chain.Account, error) {
 	account, err := f.account(ctx)
 	if err != nil {
-		return err
+		return account, err
 	}
 	if account.Role != chain.Operator {
-		return asProblem(failure.Refusal(failure.Forbidden, 0, "account %s is not an operator; use the credential of an operator account", account.ID))
+		return account, asProblem(failure.Refusal(failure.Forbidden, 0, "account %s is not an operator; use the credential of an operator account", account.ID))
 	}
-	return nil
+	return account, nil
 }
 
 // current returns the snapshot, or a refusal while there is none.
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -13,7 +13,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		ctx := context.WithValue(r.Context(), credentialKey{}, token)
-		if err := f.operator(ctx); err != nil {
+		if _, err := f.operator(ctx); err != nil {
 			p := format(ctx, err)
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(p.StatusCode())
--- a/internal/front/plans.go
+++ b/internal/front/plans.go
@@ -7,6 +7,7 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/planner"
+	"github.com/sassafrasspur/sassafrasspur/internal/program"
 	"github.com/sassafrasspur/sassafrasspur/internal/request"
 )
 
@@ -14,22 +15,27 @@
 
 // Create computes a plan and stores it. Nothing else changes.
 func (s *planService) Create(ctx context.Context, p *plans.CreatePayload) (*plans.Plan, error) {
-	if err := s.operator(ctx); err != nil {
+	account, err := s.operator(ctx)
+	if err != nil {
 		return nil, err
 	}
-	plan, err := s.plans.Create(ctx, p.Intent)
+	plan, err := s.plans.Create(ctx, account.Team, p.Intent)
 	if err != nil {
 		return nil, asProblem(err)
 	}
+	if err := s.check(ctx, plan); err != nil {
+		return nil, err
+	}
 	return encodePlan(plan, false), nil
 }
 
 // Show returns a stored plan.
 func (s *planService) Show(ctx context.Context, p *plans.ShowPayload) (*plans.Plan, error) {
-	if err := s.operator(ctx); err != nil {
+	account, err := s.operator(ctx)
+	if err != nil {
 		return nil, err
 	}
-	plan, confirmed, err := s.plans.Show(ctx, ident.PlanID(p.Plan))
+	plan, confirmed, err := s.plans.Show(ctx, account.Team, ident.PlanID(p.Plan))
 	if err != nil {
 		return nil, asProblem(err)
 	}
@@ -39,14 +45,15 @@
 // Confirm puts a plan in force and carries out its orders. A repeat after a
 // failed order carries them out again.
 func (s *planService) Confirm(ctx context.Context, p *plans.ConfirmPayload) (*plans.Plan, error) {
-	if err := s.operator(ctx); err != nil {
+	account, err := s.operator(ctx)
+	if err != nil {
 		return nil, err
 	}
 	id := ident.PlanID(p.Plan)
-	if err := s.supported(ctx, id); err != nil {
+	if err := s.reachable(ctx, account.Team, id); err != nil {
 		return nil, asProblem(err)
 	}
-	plan, err := s.plans.Confirm(ctx, id)
+	plan, err := s.plans.Confirm(ctx, account.Team, id)
 	if err != nil {
 		return nil, asProblem(err)
 	}
@@ -62,39 +69,51 @@
 	return encodePlan(plan, true), nil
 }
 
-// supported refuses a plan before its confirmation if its orders can't be
-// carried out here.
-func (s *planService) supported(ctx context.Context, id ident.PlanID) error {
-	if s.orders != nil {
-		return nil
+// check refuses a new plan that settles a call whose outcome is not unknown, or
+// one of a program that the operator's team does not own.
+func (s *planService) check(ctx context.Context, plan planner.Plan) error {
+	for _, order := range plan.Orders {
+		switch o := order.(type) {
+		case planner.ResolveOrder:
+			view, err := s.show(ctx, o.Program)
+			if err != nil {
+				return err
+			}
+			if call, ok := view.Calls[o.Call]; !ok || call.Status != program.Unknown {
+				return asProblem(failure.Refusal(failure.InvalidRequest, 0,
+					"the outcome of call %s of program %s is not unknown; look at the program's open calls", o.Call, o.Program))
+			}
+		}
 	}
-	plan, _, err := s.plans.Show(ctx, id)
+	return nil
+}
+
+// reachable refuses a plan before its confirmation if the programs that it
+// settles can't be reached.
+func (s *planService) reachable(ctx context.Context, team ident.TeamID, id ident.PlanID) error {
+	plan, _, err := s.plans.Show(ctx, team, id)
 	if err != nil {
 		return err
 	}
 	for _, order := range plan.Orders {
-		switch order.(type) {
+		switch o := order.(type) {
 		case planner.ResolveOrder:
-		default:
-			return failure.Refusal(failure.InvalidRequest, 0, "plan %s has orders to upstreams, which this node can't send; load models and change roles at the upstream itself", id)
+			if _, err := s.show(ctx, o.Program); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+// carryOut carries out an order at the owner of its program.
 func (s *planService) carryOut(ctx context.Context, id ident.PlanID, order planner.Order) error {
-	switch order := order.(type) {
+	switch o := order.(type) {
 	case planner.ResolveOrder:
-		_, err := s.ask(ctx, request.Resolve{
-			Program: order.Program,
-			Call:    order.Call,
-			Ran:     order.Ran,
-			Answer:  order.Answer,
-			Plan:    id,
-		})
+		_, err := s.ask(ctx, request.Resolve{Program: o.Program, Call: o.Call, Ran: o.Ran, Answer: o.Answer, Plan: id})
 		return err
 	default:
-		return s.orders(ctx, order)
+		return failure.New(failure.Internal, "an order of type %T is not carried out; report this", order)
 	}
 }
 
--- a/internal/front/programs.go
+++ b/internal/front/programs.go
@@ -78,15 +78,24 @@
 
 // Show returns a program's history and budget.
 func (s *programService) Show(ctx context.Context, p *programs.ShowPayload) (*programs.Program, error) {
-	reply, err := s.ask(ctx, request.Show{Program: ident.ProgramID(p.Program)})
+	view, err := s.show(ctx, ident.ProgramID(p.Program))
 	if err != nil {
 		return nil, err
 	}
+	return encodeProgram(view), nil
+}
+
+// show reads a program through the chain, which refuses it to other teams.
+func (f *Front) show(ctx context.Context, id ident.ProgramID) (program.View, error) {
+	reply, err := f.ask(ctx, request.Show{Program: id})
+	if err != nil {
+		return program.View{}, err
+	}
 	shown, ok := reply.(outcome.Shown)
 	if !ok {
-		return nil, asProblem(failure.New(failure.Internal, "the program was answered with %T; report this as a fault", reply))
+		return program.View{}, asProblem(failure.New(failure.Internal, "the program was answered with %T; report this as a fault", reply))
 	}
-	return encodeProgram(shown.View), nil
+	return shown.View, nil
 }
 
 // ask passes a request that is not a call through the chain.
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -73,7 +73,7 @@
 
 // Show returns the state of the system as this node sees it.
 func (s *statusService) Show(ctx context.Context, _ *status.ShowPayload) (*status.ShowResult, error) {
-	if err := s.operator(ctx); err != nil {
+	if _, err := s.operator(ctx); err != nil {
 		return nil, err
 	}
 	view, err := s.current()
@@ -115,7 +115,7 @@
 
 // Upstreams returns the configured upstreams and this node's use of them.
 func (s *statusService) Upstreams(ctx context.Context, _ *status.UpstreamsPayload) ([]*status.Upstream, error) {
-	if err := s.operator(ctx); err != nil {
+	if _, err := s.operator(ctx); err != nil {
 		return nil, err
 	}
 	view, err := s.current()
@@ -149,7 +149,7 @@
 
 // Vms returns the entry VMs and the number of shards that each owns.
 func (s *statusService) Vms(ctx context.Context, _ *status.VmsPayload) ([]*status.VM, error) {
-	if err := s.operator(ctx); err != nil {
+	if _, err := s.operator(ctx); err != nil {
 		return nil, err
 	}
 	view, err := s.current()
--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -224,6 +224,24 @@
 	Err      error
 }
 
+// OrderID is an order to the engine at an address.
+type OrderID struct {
+	Order   configuration.Order
+	Address string
+}
+
+// OrderDone reports the result of effect.Order.
+type OrderDone struct {
+	OrderID
+	Err error
+}
+
+// OutcomeSettled says that the outcome of a call is not unknown any more.
+type OutcomeSettled struct {
+	Program ident.ProgramID
+	Call    ident.CallID
+}
+
 // LookedUp reports the result of effect.LookUp. Found is true if the upstream
 // ran the call; a call that is not found may still run.
 type LookedUp struct {
@@ -260,3 +278,5 @@
 func (CacheRead) sealed()         {}
 func (ReleaseDone) sealed()       {}
 func (LookedUp) sealed()          {}
+func (OrderDone) sealed()         {}
+func (OutcomeSettled) sealed()    {}
--- a/internal/message/traffic.go
+++ b/internal/message/traffic.go
@@ -45,6 +45,7 @@
 type ResolveCall struct {
 	Ticket  ident.Ticket
 	Program ident.ProgramID
+	Team    ident.TeamID
 	Call    ident.CallID
 	Ran     bool
 	Answer  record.Answer
--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -46,6 +46,7 @@
 	ReadCache(ctx context.Context, e effect.ReadCache) message.CacheRead
 	Release(ctx context.Context, e effect.Release) message.ReleaseDone
 	LookUp(ctx context.Context, e effect.LookUp) message.LookedUp
+	Order(ctx context.Context, e effect.Order) message.OrderDone
 }
 
 // Gossiper exchanges news with another entry VM.
@@ -140,6 +141,8 @@
 		return p.prober.Release(ctx, e)
 	case effect.LookUp:
 		return p.prober.LookUp(ctx, e)
+	case effect.Order:
+		return p.prober.Order(ctx, e)
 	}
 	return nil
 }
--- a/internal/planner/difference.go
+++ b/internal/planner/difference.go
@@ -15,6 +15,7 @@
 	words = append(words, differ(pools, from.Pools, to.Pools)...)
 	words = append(words, differ(upstreams, from.Upstreams, to.Upstreams)...)
 	words = append(words, differ(classes, from.Classes, to.Classes)...)
+	words = append(words, differ(orders, from.Orders, to.Orders)...)
 	if from.Weights != to.Weights {
 		words = append(words, fmt.Sprintf("the weights changed from (%s) to (%s)", describeWeights(from.Weights), describeWeights(to.Weights)))
 	}
@@ -77,6 +78,7 @@
 	next.Teams = slices.Clone(c.Teams)
 	next.Pools = slices.Clone(c.Pools)
 	next.Classes = slices.Clone(c.Classes)
+	next.Orders = slices.Clone(c.Orders)
 	next.Upstreams = slices.Clone(c.Upstreams)
 	for i := range next.Upstreams {
 		next.Upstreams[i].Loans = slices.Clone(next.Upstreams[i].Loans)
--- a/internal/planner/objects.go
+++ b/internal/planner/objects.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -23,6 +24,16 @@
 	loans     = kind[configuration.Loan]{"loan to", func(l configuration.Loan) string { return string(l.Borrower) }, describeLoan}
 )
 
+// orders tells the orders to engines apart. An engine has one role and any
+// number of models.
+var orders = kind[configuration.Order]{"order", func(o configuration.Order) string {
+	id := string(o.Kind) + " on upstream " + string(o.Upstream)
+	if o.Kind == configuration.SetRole {
+		return id
+	}
+	return id + " of " + o.Name
+}, func(o configuration.Order) string { return fmt.Sprintf("%s, fencing number %d", o.Name, o.Epoch) }}
+
 func missing(name, id string) error {
 	return invalid("there is no %s %q; check the id or create it first", name, id)
 }
@@ -143,6 +154,9 @@
 	if old.Team != changed.Team {
 		d.change(old.Team, "upstream %s goes to team %s", old.ID, changed.Team)
 	}
+	if old.Pool != changed.Pool {
+		d.forget(old.ID)
+	}
 	if old.Address != changed.Address || old.Pool != changed.Pool {
 		d.lose(old)
 		d.noPromise("Calls under way at the old address of upstream %s that must not be repeated may end with an unknown outcome.", old.ID)
@@ -166,6 +180,7 @@
 		if err != nil {
 			return err
 		}
+		d.forget(u.ID)
 		d.changeUsers(u, "pool %s loses upstream %s with %d slots", u.Pool, u.ID, u.Slots)
 		d.lose(u)
 		if !u.Drain {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -34,7 +34,8 @@
 }
 
 // Order is an act that is no change of the configuration. The interface is
-// sealed: the variants are the types of this file.
+// sealed: the only variant is ResolveOrder. Orders to engines are a part of the
+// configuration.
 type Order interface{ sealed() }
 
 // ResolveOrder settles the unknown outcome of a call.
@@ -45,20 +46,4 @@
 	Answer  string
 }
 
-// LoadOrder loads a model, or an adapter of a model, on an upstream.
-type LoadOrder struct {
-	Upstream ident.UpstreamID
-	Model    string
-	// Adapter is empty if the model itself is loaded.
-	Adapter string
-}
-
-// RoleOrder changes the role of an upstream.
-type RoleOrder struct {
-	Upstream ident.UpstreamID
-	Role     string
-}
-
 func (ResolveOrder) sealed() {}
-func (LoadOrder) sealed()    {}
-func (RoleOrder) sealed()    {}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,12 +12,16 @@
 
 // Planner computes plans. Its methods depend on their arguments alone, so that
 // a stored intent gives the same plan again.
-type Planner struct{}
+type Planner struct {
+	// Team is the team of the operator who wants the plan. Without it, nothing
+	// that belongs to a team is refused.
+	Team ident.TeamID
+}
 
 // Plan computes the plan of an intent. It does not change current. Errors have
-// the kind failure.InvalidRequest. The caller sets the plan's id.
-func (Planner) Plan(current *configuration.Configuration, wanted intent.Intent) (Plan, error) {
-	d := &draft{next: clone(current), plan: Plan{Base: current.Version}}
+// the kind failure.InvalidRequest or failure.Forbidden. The caller sets the plan's id.
+func (p Planner) Plan(current *configuration.Configuration, wanted intent.Intent) (Plan, error) {
+	d := &draft{team: p.Team, next: clone(current), plan: Plan{Base: current.Version}}
 	if err := d.apply(wanted); err != nil {
 		return Plan{}, err
 	}
@@ -38,6 +42,7 @@
 
 // draft is a plan under construction.
 type draft struct {
+	team    ident.TeamID
 	next    *configuration.Configuration
 	plan    Plan
 	changed bool
@@ -71,6 +76,9 @@
 }
 
 func (d *draft) apply(wanted intent.Intent) error {
+	if err := d.permit(wanted); err != nil {
+		return err
+	}
 	switch w := wanted.(type) {
 	case intent.Batch:
 		for _, each := range w.Intents {
@@ -178,7 +186,11 @@
 	}
 	d.changeUsers(u, "upstream %s of pool %s offers the loaded model", u.ID, u.Pool)
 	d.noPromise("The time that upstream %s needs to load is not known.", u.ID)
-	d.plan.Orders = append(d.plan.Orders, LoadOrder(w))
+	order := configuration.Order{Upstream: u.ID, Kind: configuration.LoadModel, Name: w.Model}
+	if w.Adapter != "" {
+		order.Kind, order.Name = configuration.LoadAdapter, w.Model+"/"+w.Adapter
+	}
+	d.want(order)
 	return nil
 }
 
@@ -194,7 +206,7 @@
 	d.changeUsers(u, "upstream %s of pool %s has the role %s", u.ID, u.Pool, w.Role)
 	d.cost("Upstream %s may drop its cached prefixes when its role changes; they are computed again.", u.ID)
 	d.noPromise("An engine that does not know the role %s refuses the order.", w.Role)
-	d.plan.Orders = append(d.plan.Orders, RoleOrder(w))
+	d.want(configuration.Order{Upstream: u.ID, Kind: configuration.SetRole, Name: w.Role})
 	return nil
 }
 
--- /dev/null
+++ b/internal/provisioner/provisioner.go
@@ -0,0 +1,185 @@
+// Package provisioner gives engines the orders of the configuration.
+//
+// The orders are the desired state of engines: models, adapters and roles. An
+// order is repeated until its engine confirms it. The owner of the shard to
+// which an upstream's id maps sends it; the next owner of the shard sends it
+// again, which changes nothing more. The fencing number is the version of the
+// configuration that brought the order, which grows with each confirmed plan.
+package provisioner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+)
+
+// maxDelay bounds the time between two tries of an order.
+const maxDelay = 10 * time.Second
+
+// Provisioner is the controller of orders to engines.
+type Provisioner struct {
+	shards        int
+	firstDelay    time.Duration
+	configuration *configuration.Configuration
+	leaseUntil    time.Time
+	serving       map[ident.Shard]bool
+	// known holds the orders of the shards that are served here.
+	known map[message.OrderID]*order
+	// busy holds the addresses to which an order is under way. A role that a
+	// later plan replaced must not arrive after the later one.
+	busy map[string]bool
+}
+
+// order is the progress of one order at one address.
+type order struct {
+	delay     time.Duration
+	nextAt    time.Time
+	confirmed bool
+}
+
+// Option changes how New builds a Provisioner.
+type Option func(*Provisioner)
+
+// WithShards sets the number of shards. It is fixed for a deployment.
+func WithShards(shards int) Option { return func(p *Provisioner) { p.shards = shards } }
+
+// WithDelay sets the time before an order is tried again; it doubles with each
+// failure.
+func WithDelay(first time.Duration) Option { return func(p *Provisioner) { p.firstDelay = first } }
+
+// New returns a provisioner that serves no shard yet.
+func New(options ...Option) *Provisioner {
+	p := &Provisioner{
+		shards:     48,
+		firstDelay: 500 * time.Millisecond,
+		serving:    map[ident.Shard]bool{},
+		known:      map[message.OrderID]*order{},
+		busy:       map[string]bool{},
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Handle takes part in the control loop.
+func (p *Provisioner) Handle(now time.Time, m message.Message) []effect.Effect {
+	switch m := m.(type) {
+	case message.ConfigurationRead:
+		p.configure(m.Configuration)
+	case message.PeerHeard:
+		p.configure(m.Configuration)
+	case message.ShardOpened:
+		p.serving[m.Shard] = true
+		p.want()
+	case message.ShardClosed:
+		delete(p.serving, m.Shard)
+		p.want()
+	case message.Fenced:
+		clear(p.serving)
+		p.want()
+	case message.LeaseChanged:
+		p.leaseUntil = m.Until
+	case message.OrderDone:
+		p.done(now, m)
+		return append(p.tick(now), effect.Publish{})
+	case message.Tick:
+	default:
+		return nil
+	}
+	return p.tick(now)
+}
+
+// Describe adds the orders that engines have not confirmed yet.
+func (p *Provisioner) Describe(s *snapshot.Snapshot) {
+	for _, id := range p.sorted() {
+		if !p.known[id].confirmed {
+			s.OpenOrders = append(s.OpenOrders, id.Order)
+		}
+	}
+}
+
+func (p *Provisioner) configure(next *configuration.Configuration) {
+	if next != nil && (p.configuration == nil || next.Version > p.configuration.Version) {
+		p.configuration = next
+		p.want()
+	}
+}
+
+// want takes over the orders of the served shards and forgets all others. A new
+// address is a new process, which gets all orders again.
+func (p *Provisioner) want() {
+	if p.configuration == nil {
+		return
+	}
+	next := map[message.OrderID]*order{}
+	for _, o := range p.configuration.Orders {
+		upstream, ok := p.configuration.Upstream(o.Upstream)
+		if !ok || !p.serving[ident.ProgramID(o.Upstream).Shard(p.shards)] {
+			continue
+		}
+		id := message.OrderID{Order: o, Address: upstream.Address}
+		next[id] = p.known[id]
+		if next[id] == nil {
+			next[id] = &order{delay: p.firstDelay}
+		}
+	}
+	p.known = next
+}
+
+// tick sends the orders that are due. The lease is checked just before, because
+// some engines do not check fencing numbers.
+func (p *Provisioner) tick(now time.Time) []effect.Effect {
+	var effects []effect.Effect
+	for _, id := range p.sorted() {
+		o := p.known[id]
+		if o.confirmed || p.busy[id.Address] || !now.Before(p.leaseUntil) {
+			continue
+		}
+		if now.Before(o.nextAt) {
+			effects = append(effects, effect.WakeAt{Time: o.nextAt})
+			continue
+		}
+		p.busy[id.Address] = true
+		effects = append(effects, effect.Order{OrderID: id})
+	}
+	if len(effects) > 0 {
+		effects = append(effects, effect.Publish{})
+	}
+	return effects
+}
+
+func (p *Provisioner) done(now time.Time, m message.OrderDone) {
+	delete(p.busy, m.Address)
+	o, ok := p.known[m.OrderID]
+	if !ok {
+		return
+	}
+	o.confirmed = m.Err == nil
+	o.nextAt = now.Add(o.delay)
+	o.delay = min(2*o.delay, maxDelay)
+}
+
+// sorted returns the orders in the order of their plans, so that an engine gets
+// them as they were confirmed.
+func (p *Provisioner) sorted() []message.OrderID {
+	ids := make([]message.OrderID, 0, len(p.known))
+	for id := range p.known {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b message.OrderID) int {
+		return cmp.Or(
+			cmp.Compare(a.Order.Epoch, b.Order.Epoch),
+			cmp.Compare(a.Order.Upstream, b.Order.Upstream),
+			cmp.Compare(a.Order.Kind, b.Order.Kind),
+			cmp.Compare(a.Order.Name, b.Order.Name),
+		)
+	})
+	return ids
+}
--- /dev/null
+++ b/internal/provisioner/provisioner_test.go
@@ -0,0 +1,79 @@
+package provisioner_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/provisioner"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+)
+
+// decode makes a message of a line. Orders are "kind:name:epoch".
+func decode(f goldentest.Fields, now time.Time) message.Message {
+	order := func(text string) configuration.Order {
+		words := strings.Split(text, ":")
+		return configuration.Order{
+			Upstream: "e1", Kind: configuration.OrderKind(words[0]), Name: words[1],
+			Epoch: ident.Epoch(goldentest.Fields{"epoch": words[2]}.Int("epoch")),
+		}
+	}
+	switch f["message"] {
+	case "configuration":
+		c := &configuration.Configuration{
+			Version:   ident.Version(f.Int("version")),
+			Upstreams: []configuration.Upstream{{ID: "e1", Address: f["address"]}},
+		}
+		for text := range strings.SplitSeq(f["orders"], ",") {
+			c.Orders = append(c.Orders, order(text))
+		}
+		return message.ConfigurationRead{Configuration: c}
+	case "opened":
+		return message.ShardOpened{Shard: 0}
+	case "closed":
+		return message.ShardClosed{Shard: 0}
+	case "lease":
+		return message.LeaseChanged{Until: now.Add(f.Duration("for"))}
+	case "done":
+		done := message.OrderDone{OrderID: message.OrderID{Order: order(f["order"]), Address: f["address"]}}
+		if f.Has("failed") {
+			done.Err = errors.New("no answer")
+		}
+		return done
+	}
+	return message.Tick{}
+}
+
+// Guards against orders that are sent without a lease, by a node that does not
+// own them, twice at a time or not again, and against an old order that is
+// repeated after a later one replaced it.
+func TestOrders(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	p := provisioner.New(provisioner.WithShards(1))
+	g.Expect(goldentest.Check("testdata/*.txtar", func(line string) string {
+		f := goldentest.Parse(line)
+		now = now.Add(f.Duration("after"))
+		var words []string
+		for _, e := range p.Handle(now, decode(f, now)) {
+			switch e := e.(type) {
+			case effect.Order:
+				words = append(words, fmt.Sprintf("send %s %s %d to %s", e.Order.Kind, e.Order.Name, e.Order.Epoch, e.Address))
+			case effect.WakeAt:
+				words = append(words, fmt.Sprint("wake in ", e.Time.Sub(now)))
+			}
+		}
+		var view snapshot.Snapshot
+		p.Describe(&view)
+		return fmt.Sprintf("%s (%d open)", strings.Join(words, ", "), len(view.OpenOrders))
+	})).To(Succeed())
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -143,6 +143,7 @@
 func (r *Registrar) Describe(s *snapshot.Snapshot) {
 	s.Assignment = r.assignment.Clone()
 	s.Serving = len(r.serving)
+	s.PlatformSeen = r.seenAt
 	for _, vm := range slices.Sorted(maps.Keys(r.nodes)) {
 		o := r.nodes[vm]
 		if r.lapsed(o, 0) {
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -64,11 +64,12 @@
 	switch m := m.(type) {
 	case message.LookUpWanted:
 		r.pending[key{m.Program, m.Call}] = &lookUp{wanted: m, delay: r.firstDelay, nextAt: now}
-		return r.tick(now)
+		return append(r.tick(now), effect.Publish{})
 	case message.LookedUp:
 		return r.done(now, m)
-	case message.ResolveCall:
+	case message.OutcomeSettled:
 		delete(r.pending, key{m.Program, m.Call})
+		return []effect.Effect{effect.Publish{}}
 	case message.ConfigurationRead:
 		r.configure(m.Configuration)
 	case message.PeerHeard:
@@ -83,8 +84,12 @@
 	return nil
 }
 
-// Describe adds nothing to a snapshot.
-func (r *Resolver) Describe(*snapshot.Snapshot) {}
+// Describe adds the calls whose outcome is unknown.
+func (r *Resolver) Describe(s *snapshot.Snapshot) {
+	for _, k := range slices.SortedFunc(maps.Keys(r.pending), compareKeys) {
+		s.Unknown = append(s.Unknown, snapshot.UnknownCall{Program: k.program, Call: k.call})
+	}
+}
 
 func (r *Resolver) configure(next *configuration.Configuration) {
 	if next != nil && (r.configuration == nil || next.Version > r.configuration.Version) {
@@ -111,7 +116,7 @@
 			effects = append(effects, effect.WakeAt{Time: p.nextAt})
 			continue
 		}
-		effects = append(effects, r.try(now, k, p)...)
+		effects = append(effects, r.try(now, p)...)
 	}
 	return effects
 }
@@ -120,16 +125,10 @@
 	return cmp.Or(cmp.Compare(a.program, b.program), cmp.Compare(a.call, b.call))
 }
 
-func (r *Resolver) try(now time.Time, k key, p *lookUp) []effect.Effect {
-	if r.configuration == nil {
-		p.nextAt = now.Add(p.delay)
-		return []effect.Effect{effect.WakeAt{Time: p.nextAt}}
-	}
-	pool, known := r.configuration.Pool(p.wanted.Pool)
-	upstream, listed := r.configuration.Upstream(p.wanted.Upstream)
-	if !known || !listed || !pool.LookUp {
-		delete(r.pending, k)
-		return nil
+func (r *Resolver) try(now time.Time, p *lookUp) []effect.Effect {
+	upstream, ok := r.offers(p.wanted)
+	if !ok {
+		return r.later(now, p)
 	}
 	p.waiting = true
 	return []effect.Effect{effect.LookUp{
@@ -140,18 +139,31 @@
 	}}
 }
 
+// offers returns the upstream that can be asked for a call. A later plan may add
+// one, so that the call stays until its outcome is settled.
+func (r *Resolver) offers(wanted message.LookUpWanted) (configuration.Upstream, bool) {
+	if r.configuration == nil {
+		return configuration.Upstream{}, false
+	}
+	pool, known := r.configuration.Pool(wanted.Pool)
+	upstream, listed := r.configuration.Upstream(wanted.Upstream)
+	return upstream, known && listed && pool.LookUp
+}
+
+func (r *Resolver) later(now time.Time, p *lookUp) []effect.Effect {
+	p.nextAt = now.Add(p.delay)
+	p.delay = min(2*p.delay, maxDelay)
+	return []effect.Effect{effect.WakeAt{Time: p.nextAt}}
+}
+
 func (r *Resolver) done(now time.Time, m message.LookedUp) []effect.Effect {
 	k := key{m.Program, m.Call}
 	p, ok := r.pending[k]
 	if !ok {
 		return nil
 	}
-	if m.Err == nil && m.Found {
-		delete(r.pending, k)
-		return nil
-	}
+	// A result that is found is recorded by the sequencer, which then says that
+	// the outcome is settled. It is looked up again if that does not come.
 	p.waiting = false
-	p.nextAt = now.Add(p.delay)
-	p.delay = min(2*p.delay, maxDelay)
-	return []effect.Effect{effect.WakeAt{Time: p.nextAt}}
+	return r.later(now, p)
 }
--- a/internal/sequencer/lifecycle.go
+++ b/internal/sequencer/lifecycle.go
@@ -90,21 +90,37 @@
 	return one(answer(m.Ticket, shown(on, state, activity)))
 }
 
-// resolve settles an unknown outcome on an operator's plan.
+// resolve settles an unknown outcome on an operator's plan. A repeat with the
+// same result succeeds, because a confirmation may be repeated.
 func (s *Sequencer) resolve(m message.ResolveCall) []effect.Effect {
-	on, state, _ := s.find(m.Program, "")
+	on, state, activity := s.find(m.Program, m.Team)
 	if on == nil || on.closing {
 		return one(refuse(m.Ticket, notOwner()))
 	}
 	if state == nil {
 		return one(refuse(m.Ticket, notFound(m.Program)))
 	}
+	if resolved(state, activity, m) {
+		return one(answer(m.Ticket, outcome.Durable{}))
+	}
 	if call, ok := state.Calls[m.Call]; !ok || call.Status != program.Unknown {
 		return one(refuse(m.Ticket, failure.New(failure.InvalidRequest,
 			"the outcome of call %s is not unknown; look at the program before you settle it", m.Call)))
 	}
-	resolved := record.Resolved{Program: m.Program, Call: m.Call, Ran: m.Ran, Answer: m.Answer, By: m.By}
-	return one(s.record(on, resolution{record: resolved, ticket: m.Ticket}, resolved))
+	written := record.Resolved{Program: m.Program, Call: m.Call, Ran: m.Ran, Answer: m.Answer, By: m.By}
+	return one(s.record(on, resolution{record: written, ticket: m.Ticket}, written))
+}
+
+// resolved reports whether a call stands as an operator wants to settle it.
+func resolved(state *program.State, activity *active, m message.ResolveCall) bool {
+	call, ok := state.Calls[m.Call]
+	if !m.Ran {
+		running := activity.running != nil && activity.running.arrived.Request.Call == m.Call
+		return !ok && !running
+	}
+	return ok && call.Status == program.Done && slices.ContainsFunc(state.Turns, func(t program.Turn) bool {
+		return t.Call == m.Call && t.Answer.Body == m.Answer.Body && !t.Answer.Failed
+	})
 }
 
 // lookedUp settles an unknown outcome by the upstream's own result. A result
--- a/internal/sequencer/waits.go
+++ b/internal/sequencer/waits.go
@@ -138,7 +138,8 @@
 		return s.completed(now, on, w)
 	case resolution:
 		s.settle(on, w.record)
-		return one(answer(w.ticket, outcome.Durable{}))
+		settled := message.OutcomeSettled{Program: w.record.Program, Call: w.record.Call}
+		return []effect.Effect{answer(w.ticket, outcome.Durable{}), effect.Send{Message: settled}}
 	case opening:
 		return one(answer(w.ticket, outcome.Opened{Program: w.record.Program}))
 	case ending:
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -32,6 +32,20 @@
 	Serving int
 	// UpstreamLoads has a row for each upstream, for status pages.
 	UpstreamLoads []UpstreamLoad
+	// OpenOrders are the orders of this node's shards that engines have not
+	// confirmed.
+	OpenOrders []configuration.Order
+	// Unknown lists the calls of this node's shards whose outcome is unknown.
+	Unknown []UnknownCall
+	// PlatformSeen is when the last own read of the platform that succeeded was
+	// started.
+	PlatformSeen time.Time
+}
+
+// UnknownCall is a call whose outcome is unknown.
+type UnknownCall struct {
+	Program ident.ProgramID
+	Call    ident.CallID
 }
 
 // UpstreamLoad is the node's view of one upstream.
--- a/internal/upstreamprober/decode.go
+++ b/internal/upstreamprober/decode.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
@@ -94,6 +95,16 @@
 	return body
 }
 
+func encodeOrder(o configuration.Order) []byte {
+	// Marshalling strings and a number can't fail.
+	body, _ := json.Marshal(struct {
+		Kind  configuration.OrderKind `json:"kind"`
+		Name  string                  `json:"name"`
+		Epoch ident.Epoch             `json:"epoch"`
+	}{o.Kind, o.Name, o.Epoch})
+	return body
+}
+
 // decodeReply accepts the result of any attempt of the call up to the one that
 // is asked for: the service reports the attempt that ran.
 func decodeReply(a answer, e effect.LookUp) (servicecaller.Reply, error) {
--- a/internal/upstreamprober/prober.go
+++ b/internal/upstreamprober/prober.go
@@ -97,6 +97,15 @@
 	return message.ReleaseDone{Program: e.Program, Upstream: e.Upstream, Err: annotate(err, "release", e.Address)}
 }
 
+// Order gives an engine an order.
+func (p *Prober) Order(ctx context.Context, e effect.Order) message.OrderDone {
+	answer, err := p.exchange(ctx, http.MethodPost, e.Address, "/orders", encodeOrder(e.Order))
+	if err == nil {
+		err = answer.want(http.StatusOK)
+	}
+	return message.OrderDone{OrderID: e.OrderID, Err: annotate(err, "order", e.Address)}
+}
+
 // LookUp asks a service for the result of a call.
 func (p *Prober) LookUp(ctx context.Context, e effect.LookUp) message.LookedUp {
 	query := url.Values{"program": {string(e.Program)}, "call_id": {string(e.Call)}}
--- /dev/null
+++ b/session_test.go
@@ -0,0 +1,195 @@
+package sassafrasspur_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/tools/txtar"
+
+	"github.com/sassafrasspur/sassafrasspur"
+	"github.com/sassafrasspur/sassafrasspur/internal/loader"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/engine"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/platform"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/service"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// settingsText has two teams, each with a caller and an operator, whose tokens
+// are their names with a suffix.
+const settingsText = `
+vm = "vm1"
+region = "noord"
+domain = "noord-a"
+caller_address = "127.0.0.1:0"
+peer_address = "127.0.0.1:0"
+[platform]
+table_url = "http://$table"
+object_url = "http://$objects"
+list_url = "http://$objects"
+access_key = "test"
+secret_key = "test"
+[cluster]
+shards = 4
+batch_spacing = "5ms"
+read_interval = "50ms"
+[freshness]
+interval = "50ms"
+[addresses]
+retention = "1s"
+[limits]
+body_bytes = 4096
+first_byte = "500ms"
+[peer]
+key = "test-key-0123456789-0123456789-0123456789"
+`
+
+func accounts() string {
+	var b strings.Builder
+	for _, team := range []string{"desk", "meals"} {
+		for _, role := range []string{"caller", "operator"} {
+			fmt.Fprintf(&b, "[[accounts]]\nid = \"%s-%s\"\ntoken = \"%s-%s-0123456789\"\nteam = \"%s\"\nrole = \"%s\"\n", team, role, team, role, team, role)
+		}
+	}
+	return b.String()
+}
+
+// log collects the lines of the node.
+type log struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// world starts a node and stand-ins. It returns the names that golden files use
+// for their addresses, and the log.
+func world(t *testing.T, g Gomega) (map[string]string, *log) {
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	e, s := engine.New(engine.WithDecode(time.Millisecond, 0), engine.WithLoadLag(0), engine.WithFencing(true)), service.New(service.WithDuration(0), service.WithLoadLag(0))
+	t.Cleanup(e.Close)
+	t.Cleanup(s.Close)
+	names := map[string]string{"$engine": serve(e.Handler()), "$service": serve(s.Handler())}
+	p := platform.New(platform.WithVMs(names["$engine"], names["$service"]))
+	t.Cleanup(p.Close)
+	names["$table"], names["$objects"] = serve(p.Tables()), serve(p.Objects())
+	path := filepath.Join(t.TempDir(), "vm1.toml")
+	g.Expect(os.WriteFile(path, []byte(strings.NewReplacer(pairs(names)...).Replace(settingsText)+accounts()), 0o600)).To(Succeed())
+	settings, err := loader.New().Load(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	lines := &log{}
+	node, err := sassafrasspur.New(sassafrasspur.WithSettings(*settings), sassafrasspur.WithLog(lines))
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	left := make(chan error)
+	go func() { left <- node.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		g.Expect(<-left).To(Succeed())
+	})
+	names["$node"] = node.CallerAddress()
+	return names, lines
+}
+
+func pairs(names map[string]string) []string {
+	var list []string
+	for name, address := range names {
+		list = append(list, name, address)
+	}
+	return list
+}
+
+// volatile matches what differs from run to run.
+var volatile = regexp.MustCompile(`"[a-z_]+_ms":[0-9]+|[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]+Z|[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}|127\.0\.0\.1:[0-9]+`)
+
+var planID = regexp.MustCompile(`^\{"plan":"([^"]+)"`)
+
+// send sends the request of a golden file: a token, a method and a URL, and the
+// body after it. The text ${long} stands for one of 5,000 bytes.
+func send(g Gomega, names map[string]string, text string) string {
+	text = strings.NewReplacer(append(pairs(names), "${long}", strings.Repeat("x", 5000))...).Replace(text)
+	head, body, _ := strings.Cut(text, "\n")
+	words := strings.Fields(head)
+	request, err := http.NewRequest(words[1], "http://"+words[2], strings.NewReader(strings.TrimSpace(body)))
+	g.Expect(err).NotTo(HaveOccurred())
+	if words[0] != "-" {
+		request.Header.Set("Authorization", "Bearer "+words[0]+"-0123456789")
+	}
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	if found := planID.FindSubmatch(answer); found != nil && response.StatusCode == http.StatusCreated {
+		names["$plan"] = string(found[1])
+	}
+	return fmt.Sprintf("%d\n%s\n", response.StatusCode, strings.TrimSpace(volatile.ReplaceAllStringFunc(string(answer), func(s string) string {
+		if name, _, ok := strings.Cut(s, ":"); ok && strings.HasPrefix(s, `"`) {
+			return name + ":N"
+		}
+		return "V"
+	})))
+}
+
+// The sessions run against a whole node. They guard against teams that see or
+// change what another team owns, orders that reach no engine, outcomes that stay
+// unknown, and bad input that is answered without a remedy or harms others. The
+// answer to a request whose name begins with "eventually" may take 5 s.
+func TestSessions(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.txtar")
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			g := NewWithT(t)
+			archive, err := txtar.ParseFile(file)
+			g.Expect(err).NotTo(HaveOccurred())
+			names, lines := world(t, g)
+			g.Eventually(func() string { return send(g, names, "desk-operator GET $node/v1/status") }, "5s", "20ms").Should(HavePrefix("200"))
+			for i := 0; i+1 < len(archive.Files); i += 2 {
+				f := archive.Files[i]
+				ask := func() string { return send(g, names, string(f.Data)) }
+				want := string(archive.Files[i+1].Data)
+				switch {
+				case *update && strings.HasPrefix(f.Name, "eventually"):
+					time.Sleep(time.Second)
+					archive.Files[i+1].Data = []byte(ask())
+				case *update:
+					archive.Files[i+1].Data = []byte(ask())
+				case strings.HasPrefix(f.Name, "eventually"):
+					g.Eventually(ask, "5s", "20ms").Should(Equal(want), f.Name)
+				default:
+					g.Expect(ask()).To(Equal(want), f.Name)
+				}
+			}
+			g.Expect(lines.String()).NotTo(ContainSubstring("secret"), "content of a caller is in the log")
+			if *update {
+				g.Expect(os.WriteFile(file, txtar.Format(archive), 0o600)).To(Succeed())
+			}
+		})
+	}
+}
