--- a/control.go
+++ b/control.go
@@ -13,10 +13,12 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/journaler"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/observer"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/news"
 	"github.com/sassafrasspur/sassafrasspur/internal/performer"
 	"github.com/sassafrasspur/sassafrasspur/internal/placer"
 	"github.com/sassafrasspur/sassafrasspur/internal/platform/lister"
+	"github.com/sassafrasspur/sassafrasspur/internal/provisioner"
 	"github.com/sassafrasspur/sassafrasspur/internal/registrar"
 	"github.com/sassafrasspur/sassafrasspur/internal/releaser"
 	"github.com/sassafrasspur/sassafrasspur/internal/resolver"
@@ -29,7 +31,8 @@
 func (n *Node) startControl(self cluster.Node) {
 	s := n.settings
 	process := uuid.NewString()
-	list := lister.New(lister.WithEndpoint(s.Platform.ListURL), lister.WithTimeout(s.Platform.Timeout))
+	list := lister.New(lister.WithEndpoint(s.Platform.ListURL), lister.WithTimeout(s.Platform.Timeout),
+		lister.WithObserver(n.observePlatform))
 	work := performer.New(
 		performer.WithPlatform(journaler.New(n.table, n.objects, n.timers), n.table, list),
 		performer.WithProber(upstreamprober.New(n.timers)),
@@ -40,6 +43,7 @@
 	n.control = executor.New(
 		executor.WithTimers(n.timers),
 		executor.WithPerformer(work),
+		executor.WithObserver(observer.New(n.meter, n.log)),
 		executor.WithControllers(
 			committer.New(
 				committer.WithProcess(process),
@@ -65,6 +69,7 @@
 			),
 			releaser.New(),
 			resolver.New(),
+			provisioner.New(provisioner.WithShards(s.Cluster.Shards)),
 		),
 	)
 }
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -123,6 +123,9 @@
 	Address string
 }
 
+// Order gives an engine an order. Reported by message.OrderDone.
+type Order struct{ message.OrderID }
+
 func (Answer) sealed()            {}
 func (Send) sealed()              {}
 func (WakeAt) sealed()            {}
@@ -140,3 +143,4 @@
 func (Release) sealed()           {}
 func (CancelGrant) sealed()       {}
 func (LookUp) sealed()            {}
+func (Order) sealed()             {}
