sassafrasspur: count the retention of a leaving VM from its last listing

The retention began with SIGTERM, but the other VMs give the address until they have read the leaving row, so that a caller could hold it for longer than the port was open. The new process test got a refused connection 1.016 s after SIGTERM and 0.884 s after the address was last given, with a retention of 1 s. A cut of running requests was ruled out: the process had closed its port in order and exited with 0.

--- a/internal/committer/committer.go
+++ b/internal/committer/committer.go
@@ -35,6 +35,8 @@
 	inFlight   *group
 	// announce is true while a change of the node's state is not yet written.
 	announce bool
+	// announced is true once the row says that the node is leaving.
+	announced bool
 }
 
 // group is one write that is under way.
@@ -103,11 +105,13 @@
 	s.Self = c.node
 	s.LeaseUntil = c.leaseUntil
 	s.Draining = c.node.State == cluster.Leaving
+	s.LeavingAnnounced = c.announced
 }
 
 func (c *Committer) join(now time.Time, m message.Joined) []effect.Effect {
 	leaving := c.node.State == cluster.Leaving
 	c.joined, c.node = true, m.Node
+	c.announced = m.Node.State == cluster.Leaving
 	if leaving {
 		c.node.State, c.announce = cluster.Leaving, true
 	}
@@ -199,6 +203,7 @@
 	c.node = g.commit.Node
 	c.node.State = state
 	c.node.Version++
+	c.announced = g.commit.Node.State == cluster.Leaving
 	var effects []effect.Effect
 	// An answer that comes after the deadline extends nothing, unless the write
 	// was sent after the lease had lapsed.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -28,6 +28,9 @@
 	Leaving []ident.UpstreamID
 	// Draining is true from the request to shut down.
 	Draining bool
+	// LeavingAnnounced is true once the node's row on the platform says that it
+	// is leaving.
+	LeavingAnnounced bool
 	// Serving is the number of shards that are loaded here.
 	Serving int
 	// UpstreamLoads has a row for each upstream, for status pages.
--- a/node.go
+++ b/node.go
@@ -128,6 +128,7 @@
 	n.log.Info("leaving")
 	n.control.Post(message.ShutdownRequested{})
 	work := context.WithoutCancel(ctx)
+	n.withdraw(work)
 	retention := n.timers.After(n.settings.Addresses.Retention)
 	<-retention.C
 	n.handOver(work)
@@ -140,6 +141,22 @@
 	return nil
 }
 
+// withdraw waits until the other nodes have stopped giving this node's address
+// to callers, so that the retention begins after the last such answer. A read
+// of the rows that began before the row was written, the interval and the next
+// read each take time, for which one limit of the platform each is allowed.
+func (n *Node) withdraw(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, n.settings.Limits.Drain)
+	defer cancel()
+	announced := func() bool { return n.control.Snapshot().LeavingAnnounced }
+	n.await(limited, announced)
+	if !announced() {
+		n.log.Warn("the leaving state could not be written within the drain limit; other nodes may still give this address to callers")
+	}
+	noticed := n.timers.After(n.settings.Cluster.ReadInterval + 2*n.settings.Platform.Timeout)
+	<-noticed.C
+}
+
 // handOver waits until the node's shards have other owners. Without the platform
 // they can't be handed over; they are taken over later.
 func (n *Node) handOver(ctx context.Context) {
