nodetest: golden files of whole sessions over the world of the fuzz test

Cause: takeovers, unknown outcomes, outages, shared budgets, handovers and racing plans were checked by oracles and by tests of single packages, but no file showed what callers, upstreams and the platform see in a whole session. Ruled out: a second harness, and the shared golden tables, which compare one line for each decision. A worker's dispatch and its answer are now two steps of the fuzz test, so that late answers after a takeover occur there as well. After a takeover the settled allowance and the look-up both count a call as spent, which only spends too early.

--- a/internal/nodetest/node_test.go
+++ b/internal/nodetest/node_test.go
@@ -38,11 +38,14 @@
 	answers     map[ident.Ticket]outcome.Outcome
 	lastTicket  ident.Ticket
 	frozen      bool
+	// outside carries out the effects that concern neither journal nor rows of
+	// nodes; it is nil if no controller asks for them.
+	outside func(*node, effect.Effect)
 }
 
-func startNode(vm ident.VMID, process int, clock *timer.Manual, p *platform) *node {
+func startNode(vm ident.VMID, process int, clock *timer.Manual, p *platform, more ...executor.Controller) *node {
 	id := fmt.Sprintf("%s-%d", vm, process)
-	n := &node{vm: vm, clock: clock, answers: map[ident.Ticket]outcome.Outcome{}}
+	n := &node{vm: vm, clock: clock, answers: map[ident.Ticket]outcome.Outcome{}, outside: func(*node, effect.Effect) {}}
 	n.journal = journaler.New(p, objectStore{p}, timer.New(timer.WithManual(clock)))
 	self := cluster.Node{VM: vm, PeerAddress: string(vm)}
 	n.controllers = []executor.Controller{
@@ -50,7 +53,7 @@
 		registrar.New(self, registrar.WithProcess(id), registrar.WithShards(shards), registrar.WithLease(lease, margin)),
 		sequencer.New(sequencer.WithShards(shards), sequencer.WithCheckpointEvery(8)),
 	}
-	n.handle(message.Started{})
+	n.controllers = append(n.controllers, more...)
 	return n
 }
 
@@ -97,6 +100,8 @@
 		n.inbox = append(n.inbox, n.journal.Load(ctx, e))
 	case effect.ReadCluster:
 		n.inbox = append(n.inbox, n.journal.ReadCluster(ctx))
+	default:
+		n.outside(n, e)
 	}
 }
 
--- a/internal/nodetest/oracle_test.go
+++ b/internal/nodetest/oracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/program"
@@ -13,8 +14,10 @@
 // the properties as users state them and know nothing of the implementation.
 type oracle struct {
 	fail func(args ...any)
-	// trace holds what happened, for the report of a failure.
+	// trace holds what happened, for the report of a failure and for sessions.
 	trace []string
+	// elapsed is the time on the world's clock since its start.
+	elapsed func() time.Duration
 	// arrivals counts the dispatches of each call at its upstream.
 	arrivals map[ident.CallID]int
 	// once holds the calls that must not be repeated.
@@ -32,6 +35,7 @@
 func newOracle(fail func(...any)) *oracle {
 	return &oracle{
 		fail:     fail,
+		elapsed:  func() time.Duration { return 0 },
 		arrivals: map[ident.CallID]int{},
 		once:     map[ident.CallID]bool{},
 		notRun:   map[ident.CallID]bool{},
@@ -42,7 +46,7 @@
 }
 
 func (o *oracle) notef(format string, args ...any) {
-	o.trace = append(o.trace, fmt.Sprintf(format, args...))
+	o.trace = append(o.trace, fmt.Sprintf("%5.1fs ", o.elapsed().Seconds())+fmt.Sprintf(format, args...))
 }
 
 func (o *oracle) failf(format string, args ...any) {
--- a/internal/nodetest/platform_test.go
+++ b/internal/nodetest/platform_test.go
@@ -25,6 +25,8 @@
 	// delayed writes reached the platform and take effect later.
 	delayed       [][]table.Write
 	writes, reads int
+	// watch sees all writes that take effect; it may be nil.
+	watch func([]table.Write)
 }
 
 func newPlatform() *platform {
@@ -91,6 +93,9 @@
 	for _, w := range writes {
 		p.rows[w.Kind+"/"+w.Key] = table.Row{Kind: w.Kind, Key: w.Key, Version: w.Expect + 1, WriteID: w.WriteID, Body: w.Body}
 	}
+	if p.watch != nil {
+		p.watch(writes)
+	}
 	if p.lost > 0 {
 		p.lost--
 		return message.Uncertain
--- a/internal/nodetest/properties_test.go
+++ b/internal/nodetest/properties_test.go
@@ -67,7 +67,7 @@
 	work := func(t *rapid.T) {
 		var able []*worker
 		for _, k := range w.workers {
-			if !k.node.frozen && (k.stage == ready || k.stage == checked) {
+			if !k.node.frozen && (k.stage == ready || k.stage == checked || k.stage == sent) {
 				able = append(able, k)
 			}
 		}
@@ -76,11 +76,14 @@
 			return
 		}
 		k := rapid.SampledFrom(able).Draw(t, "worker")
-		if k.stage == ready {
+		switch k.stage {
+		case ready:
 			w.check(k)
-			return
+		case checked:
+			w.dispatch(k)
+		case sent:
+			w.receive(k, rapid.IntRange(0, 4).Draw(t, "breaks") == 0)
 		}
-		w.dispatch(k, rapid.IntRange(0, 4).Draw(t, "breaks") == 0)
 	}
 	run := func(t *rapid.T) {
 		n := w.nodes[anyNode(t)]
@@ -150,16 +153,24 @@
 	for range 20 {
 		w.advance(2 * time.Second)
 		for _, k := range slices.Clone(w.workers) {
-			if k.stage == ready {
-				w.check(k)
-			}
-			if k.stage == checked {
-				w.dispatch(k, false)
-			}
+			w.finish(k, false)
 		}
 	}
 }
 
+// finish takes a worker's call through all steps that need no answer of its node.
+func (w *world) finish(k *worker, breaks bool) {
+	if k.stage == ready {
+		w.check(k)
+	}
+	if k.stage == checked {
+		w.dispatch(k)
+	}
+	if k.stage == sent {
+		w.receive(k, breaks)
+	}
+}
+
 func (w *world) unfreeze() {
 	for _, n := range w.nodes {
 		n.frozen = false
--- a/internal/nodetest/worker_test.go
+++ b/internal/nodetest/worker_test.go
@@ -6,11 +6,12 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 // proceed goes on with a worker when its request was answered.
 func (w *world) proceed(k *worker, answer outcome.Outcome) {
-	w.oracle.notef("worker of %s on %s in stage %d gets %T", k.call.id, k.node.vm, k.stage, answer)
+	w.oracle.notef("%s: worker of %s, which %s, gets %s", k.node.vm, k.call.id, k.stage, describe(answer))
 	refused, isRefused := answer.(outcome.Refused)
 	switch {
 	case k.stage == waitsForIntent && !isRefused:
@@ -73,17 +74,35 @@
 	})
 }
 
-// dispatch sends the call to its upstream, which answers or breaks.
-func (w *world) dispatch(k *worker, breaks bool) {
-	w.oracle.notef("%s dispatches %s (breaks: %v)", k.node.vm, k.call.id, breaks)
-	w.oracle.arrive(k.client.program, k.call.id, k.call.position, budgetCalls)
+// dispatch sends the call to its upstream.
+func (w *world) dispatch(k *worker) {
+	k.stage = sent
+	if k.call.engine {
+		w.engines.hold(k.upstream, k.client.program)
+	}
+	w.oracle.notef("%s: dispatches %s, attempt %d of epoch %d", k.node.vm, k.call.id, k.run.Attempt, k.run.Epoch)
+	w.oracle.arrive(k.client.program, k.call.id, k.call.position, w.budgets[k.client.program.Root()])
+}
+
+// tokensOf returns the prompt tokens of an engine call; other calls have none.
+func tokensOf(k *worker) unit.Tokens {
+	if k.call.engine {
+		return 1
+	}
+	return 0
+}
+
+// receive reports that the upstream answered, or that its answer broke.
+func (w *world) receive(k *worker, breaks bool) {
+	w.oracle.notef("%s: the upstream answers %s (breaks: %v)", k.node.vm, k.call.id, breaks)
 	switch {
 	case !breaks:
 		k.stage = waitsForRecord
 		k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
 			return message.CallCompleted{
 				Ticket: t, AttemptID: k.attempt(),
-				Answer: record.Answer{Body: string(k.call.id), Usage: record.Usage{Calls: 1}},
+				Answer:   record.Answer{Body: string(k.call.id), Usage: record.Usage{Calls: 1, PromptTokens: tokensOf(k)}},
+				Upstream: k.upstream, Resident: k.call.engine,
 			}
 		})
 	case k.call.once:
@@ -95,7 +114,7 @@
 		k.stage = waitsForRetry
 		k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
 			return message.CallRetried{
-				Ticket: t, AttemptID: k.attempt(), Usage: record.Usage{Calls: 1},
+				Ticket: t, AttemptID: k.attempt(), Upstream: k.upstream, Usage: record.Usage{Calls: 1},
 			}
 		})
 	}
--- a/internal/nodetest/world_test.go
+++ b/internal/nodetest/world_test.go
@@ -14,18 +14,23 @@
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
-const budgetCalls = unit.Calls(9)
+const (
+	budgetCalls = unit.Calls(9)
+	// budgetTokens is more than the calls of any test use.
+	budgetTokens = unit.Tokens(1_000_000)
+)
 
 // stage is how far a worker has brought its call.
-type stage int
+type stage string
 
 const (
-	waitsForIntent stage = iota
-	ready
-	checked
-	waitsForRecord
-	waitsForCancel
-	waitsForRetry
+	waitsForIntent stage = "waits for its intent"
+	ready          stage = "is ready"
+	checked        stage = "has checked the lease"
+	sent           stage = "waits for the upstream"
+	waitsForRecord stage = "waits for its record"
+	waitsForCancel stage = "waits for its cancel"
+	waitsForRetry  stage = "waits for its retry"
 )
 
 // worker is the traffic goroutine of one call on one node.
@@ -36,6 +41,8 @@
 	run    outcome.Run
 	stage  stage
 	ticket ident.Ticket
+	// upstream is where an engine call was sent last.
+	upstream ident.UpstreamID
 }
 
 func (k *worker) attempt() message.AttemptID {
@@ -48,6 +55,9 @@
 	position ident.Position
 	once     bool
 	sent     bool
+	body     uint64
+	// engine calls leave memory at their upstream.
+	engine bool
 }
 
 // client runs the calls of one program one after the other.
@@ -75,10 +85,38 @@
 	workers   []*worker
 	oracle    *oracle
 	calls     int
+	budgets   map[ident.ProgramID]unit.Calls
+	// asks are requests other than calls that wait for an answer.
+	asks []pendingAsk
+	// extend adds controllers to a new node; nil adds none.
+	extend func(*node)
+	// engines hold the memory of engine calls; nil in worlds without such calls.
+	engines *engines
+}
+
+type pendingAsk struct {
+	node   *node
+	ticket ident.Ticket
+	text   string
+}
+
+func newEmptyWorld(oracle *oracle) *world {
+	start := time.Unix(1e9, 0)
+	w := &world{
+		clock: timer.NewManual(start), platform: newPlatform(), oracle: oracle, budgets: map[ident.ProgramID]unit.Calls{},
+	}
+	oracle.elapsed = func() time.Duration { return w.clock.Now().Sub(start) }
+	return w
 }
 
 func newWorld(oracle *oracle) *world {
-	w := &world{clock: timer.NewManual(time.Unix(1e9, 0)), platform: newPlatform(), oracle: oracle}
+	w := newEmptyWorld(oracle)
+	w.populate()
+	return w
+}
+
+// populate starts three nodes and opens two programs with a sub-agent each.
+func (w *world) populate() {
 	for i := range 3 {
 		w.nodes = append(w.nodes, w.start(ident.VMID(fmt.Sprintf("vm%d", i))))
 	}
@@ -87,17 +125,22 @@
 		w.open(root)
 		w.clients = append(w.clients, &client{program: root, next: 1}, &client{program: root.Child(1), next: 1})
 	}
-	return w
 }
 
 func (w *world) start(vm ident.VMID) *node {
 	w.processes++
-	return startNode(vm, w.processes, w.clock, w.platform)
+	n := startNode(vm, w.processes, w.clock, w.platform)
+	if w.extend != nil {
+		w.extend(n)
+	}
+	n.handle(message.Started{})
+	return n
 }
 
 func (w *world) open(root ident.ProgramID) {
+	w.budgets[root] = budgetCalls
 	w.request(func(t ident.Ticket) message.Message {
-		return message.OpenProgram{Ticket: t, Program: root, Team: "team", Budget: record.Budget{Calls: budgetCalls}}
+		return message.OpenProgram{Ticket: t, Program: root, Team: "team", Budget: record.Budget{Calls: budgetCalls, Tokens: budgetTokens}}
 	})
 	w.request(func(t ident.Ticket) message.Message {
 		return message.OpenChild{Ticket: t, Parent: root, Child: root.Child(1), Team: "team"}
@@ -148,6 +191,11 @@
 // crash replaces a node's process by a new one; its workers are gone.
 func (w *world) crash(old *node) {
 	w.nodes[slices.Index(w.nodes, old)] = w.start(old.vm)
+	w.forget(old)
+}
+
+// forget drops the workers and the callers' connections of a node that is gone.
+func (w *world) forget(old *node) {
 	var kept []*worker
 	for _, k := range w.workers {
 		if k.node != old {
@@ -178,20 +226,35 @@
 	}
 	first := !c.current.sent
 	c.current.sent = true
-	sent := *c.current
+	w.post(c, n, *c.current, first)
+}
+
+// post sends a call to a node, as a caller or another node does.
+func (w *world) post(c *client, n *node, sent call, first bool) {
 	ticket := n.ask(func(t ident.Ticket) message.Message {
 		return message.CallArrived{
-			Ticket: t, Program: c.program, Team: "team", Repeatable: !sent.once, First: first,
-			Request: record.Request{Call: sent.id, Position: sent.position},
+			Ticket: t, Program: c.program, Team: "team", Repeatable: !sent.once, Engine: sent.engine, First: first,
+			Request:  record.Request{Call: sent.id, Position: sent.position, Pool: "desk"},
+			BodyHash: sent.body,
 		}
 	})
-	w.oracle.notef("%s sends %+v to %s", c.program, sent, n.vm)
+	w.oracle.notef("%s: receives %s at position %d of %s (once: %v)", n.vm, sent.id, sent.position, c.program, sent.once)
 	c.waits = append(c.waits, pendingCall{node: n, ticket: ticket, call: sent})
 	w.collect()
 }
 
 // collect hands answers to the clients and workers that wait for them.
 func (w *world) collect() {
+	asks := w.asks
+	w.asks = nil
+	for _, a := range asks {
+		answer := a.node.take(a.ticket)
+		if answer == nil {
+			w.asks = append(w.asks, a)
+			continue
+		}
+		w.oracle.notef("%s: %s is answered with %s", a.node.vm, a.text, describe(answer))
+	}
 	for _, c := range w.clients {
 		waits := c.waits
 		c.waits = nil
@@ -212,10 +275,13 @@
 }
 
 func (w *world) answered(c *client, p pendingCall, answer outcome.Outcome) {
-	w.oracle.notef("%s answers %s with %T", p.node.vm, p.call.id, answer)
+	w.oracle.notef("%s: %s of %s gets %s", p.node.vm, p.call.id, c.program, describe(answer))
 	switch answer := answer.(type) {
 	case outcome.Run:
-		k := &worker{node: p.node, client: c, call: p.call, run: answer, stage: ready}
+		k := &worker{node: p.node, client: c, call: p.call, run: answer, stage: ready, upstream: "u"}
+		if p.call.engine {
+			k.upstream = "e0"
+		}
 		w.workers = append(w.workers, k)
 		if p.call.once {
 			k.stage = waitsForIntent
@@ -231,6 +297,7 @@
 }
 
 func (w *world) completed(c *client, k call, answer string) {
+	w.oracle.notef("the caller of %s is told the answer %q", k.id, answer)
 	w.oracle.complete(c.program, k.position, answer)
 	if c.current != nil && c.current.id == k.id {
 		c.current = nil
@@ -239,7 +306,7 @@
 }
 
 func (w *world) refused(c *client, k call, err *failure.Error) {
-	w.oracle.notef("call %s is refused: %v (not run: %v)", k.id, err, err.NotRun)
+	w.oracle.notef("the caller of %s is told %s", k.id, describe(outcome.Refused{Err: err}))
 	if err.NotRun {
 		w.oracle.refusedNotRun(k.id)
 		if c.current != nil && c.current.id == k.id {
