--- /dev/null
+++ b/internal/load/sizer/sizer_test.go
@@ -0,0 +1,50 @@
+package sizer_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/sizer"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/workload"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+func TestSizer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Sizer")
+}
+
+var _ = Describe("a capacity", func() {
+	// Guards against a load that is not the stated part of the capacity: the
+	// pool that is exhausted first counts, sub-agents count, and pauses don't.
+	It("is that of the golden table", func() {
+		Expect(goldentest.Check("testdata/*.txtar", func(line string) string {
+			f := goldentest.Parse(line)
+			var steps []workload.Step
+			for range f.Int("turns") {
+				steps = append(steps, workload.Turn{Prompt: unit.Tokens(f.Int("prompt")), Answer: unit.Tokens(f.Int("answer"))})
+			}
+			for range f.Int("operations") {
+				steps = append(steps, workload.Operation{})
+			}
+			steps = append(steps, workload.Pause{Duration: time.Hour})
+			if f.Has("child") {
+				steps = append(steps, workload.SubAgent{Steps: steps})
+			}
+			s := sizer.New(
+				sizer.Engines{Replicas: 2, Slots: 4, Prefill: unit.Tokens(f.Int("prefill")), Step: 10 * time.Millisecond},
+				sizer.Services{Replicas: 1, Slots: 5, Run: 100 * time.Millisecond},
+			)
+			var sample []workload.Program
+			for range f.Int("programs") {
+				sample = append(sample, workload.Program{Steps: steps})
+			}
+			return strconv.FormatFloat(float64(s.Capacity(sample)), 'f', 3, 64)
+		})).To(Succeed())
+	})
+})
