driver: open-loop runs of a workload over the client

Latency counts from the planned arrival, since a closed loop would hide the queueing that the policies differ in. Refusals are repeated after their own delay; other errors fail the program. Ruled out: counting recomputed tokens across sub-agents, which have histories of their own.

--- /dev/null
+++ b/internal/load/driver/driver_test.go
@@ -0,0 +1,147 @@
+package driver_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/chain"
+	"github.com/sassafrasspur/sassafrasspur/internal/client"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/front"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/driver"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/workload"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/request"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func TestDriver(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Driver")
+}
+
+// server is a fake entry VM. It answers turns with a prompt that grows by the
+// body and serves nothing of the third turn of an agent from a cache.
+type server struct {
+	mu      sync.Mutex
+	seen    []string
+	lengths map[ident.ProgramID]unit.Tokens
+	refused map[ident.Operation]bool
+}
+
+func (s *server) serve(_ context.Context, x *chain.Exchange) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch r := x.Request.(type) {
+	case request.Open:
+		s.seen = append(s.seen, fmt.Sprintf("open %s %s", r.Program, r.Class))
+	case request.OpenChild:
+		s.seen = append(s.seen, fmt.Sprintf("child %s", r.Child))
+	case request.End:
+		s.seen = append(s.seen, fmt.Sprintf("end %s", r.Program))
+	case request.Call:
+		s.seen = append(s.seen, fmt.Sprintf("call %s %s %d %s %s", r.Program, r.Call, r.Position, r.Pool, r.Operation))
+		if r.Operation != "" {
+			return s.operate(r, x.Sink)
+		}
+		cached := s.lengths[r.Program]
+		if r.Position == 3 {
+			cached = 0
+		}
+		prompt := s.lengths[r.Program] + unit.Tokens(len(strings.Fields(r.Body)))
+		s.lengths[r.Program] = prompt + r.MaxTokens
+		return x.Sink.End(chain.End{Call: r.Call, Attempt: 1, Answer: record.Answer{
+			Usage: record.Usage{Calls: 1, PromptTokens: prompt, CachedTokens: cached, OutputTokens: r.MaxTokens},
+		}})
+	}
+	return nil
+}
+
+// operate refuses each operation once; "broken" always fails for good.
+func (s *server) operate(r request.Call, sink chain.Sink) error {
+	switch {
+	case r.Operation == "broken":
+		return failure.New(failure.OutcomeUnknown, "the outcome is unknown; ask an operator")
+	case !s.refused[r.Operation]:
+		s.refused[r.Operation] = true
+		return failure.Refusal(failure.Overloaded, time.Millisecond, "the queue is full; repeat the call")
+	}
+	return sink.End(chain.End{Call: r.Call, Attempt: 1, Answer: record.Answer{Usage: record.Usage{Calls: 1}}})
+}
+
+const pause = 400 * time.Millisecond
+
+func turn(prompt, answer unit.Tokens) workload.Turn {
+	return workload.Turn{Pool: workload.Engines, Prompt: prompt, Answer: answer, Text: 1}
+}
+
+var _ = Describe("a run", func() {
+	// Guards against calls out of order, refusals that fail a program, programs
+	// that are not ended, and recomputed tokens that are counted for the first
+	// turn or across agents.
+	It("sends and counts what the golden file says", func() {
+		s := &server{lengths: map[ident.ProgramID]unit.Tokens{}, refused: map[ident.Operation]bool{}}
+		timers := timer.New()
+		identify := func(_ context.Context, x *chain.Exchange) error {
+			x.Account = chain.Account{ID: "tess", Team: "desk", Role: chain.Caller}
+			return nil
+		}
+		view := &snapshot.Snapshot{}
+		entry := httptest.NewServer(front.New(s.serve, identify, func() *snapshot.Snapshot { return view }, nil, timers, addresser.New()).Handler())
+		DeferCleanup(entry.Close)
+		callers := map[ident.Region][]driver.Caller{"noord": {client.New([]string{entry.Listener.Addr().String()}, "t", timers)}}
+		operation := func(name ident.Operation) workload.Step {
+			return workload.Operation{Pool: workload.Services, Operation: name}
+		}
+		list := []workload.Program{
+			{ID: "long", Region: "noord", Class: "standard", Steps: []workload.Step{
+				turn(10, 2), workload.Pause{Duration: pause}, turn(5, 3), turn(5, 1), operation("file"),
+				workload.SubAgent{Steps: []workload.Step{turn(7, 1), turn(1, 1)}},
+			}},
+			{ID: "failing", Region: "noord", Class: "standard", Arrival: time.Millisecond, Steps: []workload.Step{operation("broken"), turn(1, 1)}},
+		}
+		outcomes := driver.New(callers).Run(context.Background(), list)
+		slices.SortFunc(outcomes, func(a, b driver.Outcome) int { return strings.Compare(string(a.Program), string(b.Program)) })
+
+		var got strings.Builder
+		slices.SortStableFunc(s.seen, func(a, b string) int { return strings.Compare(owner(a), owner(b)) })
+		fmt.Fprintln(&got, strings.Join(s.seen, "\n"))
+		for _, o := range outcomes {
+			fmt.Fprintf(&got, "%s: refused %d, retries %d, cacheable %d, recomputed %d, error %v\n",
+				o.Program, o.Refused, o.Retries, o.Cacheable, o.Recomputed, o.Err)
+		}
+		path := "testdata/run.txt"
+		if *update {
+			Expect(os.WriteFile(path, []byte(got.String()), 0o600)).To(Succeed())
+		}
+		want, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.String()).To(Equal(string(want)))
+
+		// Guards against tool pauses that count as latency.
+		Expect(outcomes[1].Done).To(BeNumerically(">=", pause))
+		Expect(outcomes[1].Latency).To(BeNumerically("<", outcomes[1].Done-pause+time.Millisecond))
+	})
+})
+
+// owner returns the root program of a line.
+func owner(line string) string {
+	return string(ident.ProgramID(strings.Fields(line)[1]).Root())
+}
