reporter, meter, sassafrasspur-load: measures of a run as JSON lines

Prints latency percentiles, recomputed tokens, exported bytes and, for an overload, goodput and recovery.

--- /dev/null
+++ b/cmd/sassafrasspur-load/options.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/client"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/driver"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/meter"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/reporter"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/sizer"
+	"github.com/sassafrasspur/sassafrasspur/internal/load/workload"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const (
+	// sampleRate and sampleTime give about 3,000 programs, whose mean demand is
+	// that of the workload within a few percent.
+	sampleRate = 100
+	sampleTime = 30 * time.Second
+	// overloadFactor is the arrival rate of an overload in capacities.
+	overloadFactor = 2
+	// goodputWindow has some tens of programs at the usual rates.
+	goodputWindow = 3 * time.Second
+)
+
+type options struct {
+	Workload string            `long:"workload" choice:"padang_bersama" choice:"schoolmaal_loket" required:"yes" description:"workload"`
+	Policy   string            `long:"policy" default:"product" description:"policy of the entry VMs, for the output"`
+	Seed     uint64            `long:"seed" default:"1" description:"seed of the workload"`
+	Servers  map[string]string `long:"server" key-value-delimiter:"=" value-name:"IP:PORT=REGION" required:"yes" description:"entry VM and its region; may be repeated"`
+	Token    string            `long:"token" description:"credential of the caller account"`
+	Engines  []string          `long:"engine" value-name:"IP:PORT" description:"engine whose exported bytes are counted; may be repeated"`
+	Callers  int               `long:"callers" default:"8" description:"callers in each region, each with connections of its own"`
+	Rate     float64           `long:"rate" description:"programs a second; 0 computes the rate from the load"`
+	Load     float64           `long:"load" default:"0.7" description:"arrival rate as a part of the capacity"`
+	Duration time.Duration     `long:"duration" default:"20s" description:"time in which programs arrive"`
+	Overload time.Duration     `long:"overload" description:"duration of an overload of twice the capacity after the first duration; another two durations follow it"`
+	Limit    time.Duration     `long:"limit" default:"10s" description:"latency within which a program counts for goodput"`
+
+	EngineReplicas  int     `long:"engine-replicas" default:"10" description:"engines"`
+	Slots           int     `long:"slots" default:"16" description:"largest batch of an engine"`
+	Prefill         int64   `long:"prefill" default:"8000" description:"prefill tokens a second of a request"`
+	Decode          float64 `long:"decode-ms" default:"20" description:"duration of a decode step in milliseconds"`
+	Growth          float64 `long:"decode-growth-ms" default:"0.5" description:"growth of a decode step for each request of the batch in milliseconds"`
+	ServiceReplicas int     `long:"service-replicas" default:"10" description:"services"`
+	ServiceSlots    int     `long:"service-slots" default:"8" description:"operations of a service that run side by side"`
+	RunTime         float64 `long:"run-ms" default:"50" description:"run time of an operation in milliseconds"`
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func (o *options) run(ctx context.Context, log zerolog.Logger, out io.Writer) error {
+	kind, ok := workload.KindByName(o.Workload)
+	if !ok {
+		return errors.Errorf("there is no workload %q", o.Workload)
+	}
+	capacity := o.capacity(kind)
+	normal := workload.PerSecond(o.Rate)
+	if normal <= 0 {
+		normal = capacity * workload.PerSecond(o.Load)
+	}
+	phases := []workload.Phase{{Duration: o.Duration, Rate: normal}}
+	if o.Overload > 0 {
+		phases = append(phases,
+			workload.Phase{Duration: o.Overload, Rate: overloadFactor * capacity},
+			workload.Phase{Duration: 2 * o.Duration, Rate: normal})
+	}
+	timers := timer.New()
+	callers := o.callers(timers)
+	list := workload.New(kind, workload.WithSeed(o.Seed), workload.WithPhases(phases...),
+		workload.WithRegions(slices.Sorted(maps.Keys(callers))...)).Generate()
+	log.Info().Str("workload", o.Workload).Float64("capacity", float64(capacity)).
+		Float64("rate", float64(normal)).Int("programs", len(list)).Msg("run starts")
+
+	m := meter.New(o.Engines)
+	before, err := m.Exported(ctx)
+	if err != nil {
+		return err
+	}
+	start := timers.Now()
+	outcomes := driver.New(callers, driver.WithTimers(timers), driver.WithLog(log)).Run(ctx, list)
+	elapsed := timers.Now().Sub(start)
+	after, err := m.Exported(ctx)
+	if err != nil {
+		return err
+	}
+	run := reporter.Run{
+		Workload: o.Workload, Policy: o.Policy, Seed: o.Seed, Transferred: after - before, Elapsed: elapsed,
+	}
+	if o.Overload > 0 {
+		return reporter.New(out).Overload(run, reporter.Overload{
+			Limit: o.Limit, From: o.Duration, To: o.Duration + o.Overload,
+			End: 3*o.Duration + o.Overload, Window: goodputWindow,
+		}, outcomes)
+	}
+	return reporter.New(out).Run(run, outcomes)
+}
+
+// capacity returns the programs a second that the upstreams carry. The sample
+// has a seed of its own, so that runs with different seeds have the same rate.
+func (o *options) capacity(kind workload.Kind) workload.PerSecond {
+	sample := workload.New(kind, workload.WithSeed(0), workload.WithPhases(workload.Phase{Duration: sampleTime, Rate: sampleRate})).Generate()
+	return sizer.New(
+		sizer.Engines{
+			Replicas: o.EngineReplicas, Slots: o.Slots, Prefill: unit.Tokens(o.Prefill),
+			Step: milliseconds(o.Decode + float64(o.Slots)*o.Growth),
+		},
+		sizer.Services{Replicas: o.ServiceReplicas, Slots: o.ServiceSlots, Run: milliseconds(o.RunTime)},
+	).Capacity(sample)
+}
+
+// callers returns the callers of each region. A caller tries the entry VMs of
+// its own region first, and starts with another one than its neighbours.
+func (o *options) callers(timers *timer.Service) map[ident.Region][]driver.Caller {
+	servers := map[ident.Region][]string{}
+	for _, address := range slices.Sorted(maps.Keys(o.Servers)) {
+		region := ident.Region(o.Servers[address])
+		servers[region] = append(servers[region], address)
+	}
+	callers := map[ident.Region][]driver.Caller{}
+	for region, near := range servers {
+		var far []string
+		for _, other := range slices.Sorted(maps.Keys(servers)) {
+			if other != region {
+				far = append(far, servers[other]...)
+			}
+		}
+		for i := range o.Callers {
+			first := i % len(near)
+			order := slices.Concat(near[first:], near[:first], far)
+			callers[region] = append(callers[region], client.New(order, o.Token, timers))
+		}
+	}
+	return callers
+}
