--- a/internal/enginecaller/failure.go
+++ b/internal/enginecaller/failure.go
@@ -27,7 +27,9 @@
 // rejects it, too.
 type Rejected struct {
 	Status int
-	Text   string
+	// Text is what the engine says. It may quote the prompt and is therefore not
+	// part of the error's message.
+	Text string
 }
 
 // Broken says that the stream ended before it was whole and that resuming
@@ -60,7 +62,7 @@
 
 // Error returns a message that names the remedy.
 func (f Rejected) Error() string {
-	return fmt.Sprintf("engine rejects the request with status %d: %s; correct the request", f.Status, f.Text)
+	return fmt.Sprintf("engine rejects the request with status %d; correct the request", f.Status)
 }
 
 // Error returns a message that names the remedy.
@@ -105,9 +107,11 @@
 	Crossed = errors.ConstError("crossed answer")
 	// Malformed says that an event is not of the protocol.
 	Malformed = errors.ConstError("malformed event")
-	// Incomplete says that a stream ended without usage or end marker, or that
-	// its count of tokens does not match.
+	// Incomplete says that a stream ended without usage or end marker.
 	Incomplete = errors.ConstError("incomplete stream")
+	// Miscounted says that the usage counts other tokens than were received, so
+	// that the position of a resume is not known.
+	Miscounted = errors.ConstError("tokens missing or repeated")
 	// Leaving says that the engine is leaving.
 	Leaving = errors.ConstError("engine is leaving")
 	// Full says that the engine's queue is full.
--- a/internal/servicecaller/caller.go
+++ b/internal/servicecaller/caller.go
@@ -1,19 +1,13 @@
-// Package servicecaller calls operations of plain services.
-//
-// net/http resends some requests by itself: on a reused connection that fails
-// before the first byte, after a redirect, for requests with an idempotency
-// key, and for refused HTTP/2 streams. Each of these is shut off here, because
-// an operation that files something must reach its service at most once.
 package servicecaller
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,34 +17,31 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
-// maxAnswer bounds the size of an answer that is read.
-const maxAnswer = 4 << 20
-
-// Request is one dispatch of an operation.
+// Request is one dispatch of a call.
 type Request struct {
 	// Address is the IP address and port of the service.
 	Address   string
-	Operation ident.Operation
 	Program   ident.ProgramID
 	Call      ident.CallID
 	Attempt   ident.Attempt
+	Operation ident.Operation
 	Body      string
 }
 
-// Result is the answer to a dispatch.
+// Result is the answer of a service that ran the call.
 type Result struct {
-	Answer record.Answer
-	// FirstByte and Duration are measured from the start of the dispatch.
-	FirstByte time.Duration
-	Duration  time.Duration
+	Answer   record.Answer
+	Duration time.Duration
 }
 
 // Caller calls services. It is safe for concurrent use.
 type Caller struct {
 	timers  *timer.Service
 	limit   time.Duration
+	size    unit.Bytes
 	client  *http.Client
 	crossed atomic.Uint64
 }
@@ -58,135 +49,126 @@
 // Option changes how New builds a Caller.
 type Option func(*Caller)
 
-// WithLimit sets the longest wait for an answer; the default is 30 s.
+// WithLimit limits the time of a call; the default is 30 s.
 func WithLimit(limit time.Duration) Option {
 	return func(c *Caller) { c.limit = limit }
 }
 
-// New returns a caller whose limit follows the timer service.
-func New(timers *timer.Service, options ...Option) *Caller {
-	c := &Caller{timers: timers, limit: 30 * time.Second, client: client()}
-	for _, option := range options {
-		option(c)
-	}
-	return c
+// WithSize limits the size of an answer; the default is 4 MiB.
+func WithSize(size unit.Bytes) Option {
+	return func(c *Caller) { c.size = size }
 }
 
-// client opens a connection for each request and follows no redirect.
-func client() *http.Client {
+// New returns a Caller whose limit follows the timer service.
+func New(timers *timer.Service, options ...Option) *Caller {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Client{
-		Transport: &http.Transport{
-			Protocols:          protocols,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
-			DialContext:        (&net.Dialer{Timeout: dialLimit}).DialContext,
+	c := &Caller{
+		timers: timers,
+		limit:  30 * time.Second,
+		size:   4 << 20,
+		client: &http.Client{
+			// net/http resends a request whose kept-alive connection was
+			// closed; without keep-alives there is no such connection.
+			Transport: &http.Transport{
+				Protocols:          protocols,
+				DisableKeepAlives:  true,
+				DisableCompression: true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
-// dialLimit bounds the time to connect. Nothing was sent when it is over.
-const dialLimit = 2 * time.Second
-
 // Crossed returns the number of answers that belonged to another call.
 func (c *Caller) Crossed() uint64 { return c.crossed.Load() }
 
-// Call dispatches an operation once. Errors are variants of Failure.
-func (c *Caller) Call(ctx context.Context, r Request) (Result, error) {
+// Call sends a call once and returns its answer. Errors are variants of
+// Failure.
+func (c *Caller) Call(ctx context.Context, request Request) (Result, error) {
 	started := c.timers.Now()
 	ctx, cancel := expirer.Context(ctx, c.timers, c.limit)
 	defer cancel()
-	request, sent, err := c.request(ctx, r)
-	if err != nil {
-		return Result{}, Declined{Cause: err}
-	}
-	response, err := c.client.Do(request)
+	response, err := c.send(ctx, request)
 	if err != nil {
-		if !sent.Load() {
-			return Result{}, Declined{Cause: err}
-		}
-		return Result{}, Unresolved{Cause: err}
+		return Result{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	firstByte := c.timers.Now().Sub(started)
-	answer, err := c.read(r, response)
-	if err != nil {
+	if err := status(response); err != nil {
 		return Result{}, err
 	}
-	return Result{Answer: answer, FirstByte: firstByte, Duration: c.timers.Now().Sub(started)}, nil
+	reply, err := ReadReply(response.Body, c.size)
+	if err != nil {
+		return Result{}, Unknown{Cause: cause(ctx, err)}
+	}
+	if reply.Program != request.Program || reply.Call != request.Call || reply.Attempt != request.Attempt {
+		c.crossed.Add(1)
+		return Result{}, Unknown{Cause: Crossed}
+	}
+	if reply.Answer.Failed != (response.StatusCode == http.StatusUnprocessableEntity) {
+		return Result{}, Unknown{Cause: errors.Annotatef(Malformed, "status %d does not match the body", response.StatusCode)}
+	}
+	return Result{Answer: reply.Answer, Duration: c.timers.Now().Sub(started)}, nil
 }
 
-// request builds the HTTP request. Its body can't be rewound, and sent is set
-// when the first part of the body is read, which comes before any byte is
-// written to the connection's peer.
-func (c *Caller) request(ctx context.Context, r Request) (*http.Request, *atomic.Bool, error) {
-	content, err := json.Marshal(struct {
+func (c *Caller) send(ctx context.Context, r Request) (*http.Response, error) {
+	body, err := json.Marshal(struct {
 		Program ident.ProgramID `json:"program"`
 		Call    ident.CallID    `json:"call_id"`
 		Attempt ident.Attempt   `json:"attempt"`
 		Body    string          `json:"body"`
 	}{r.Program, r.Call, r.Attempt, r.Body})
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return nil, NotRun{Cause: err}
 	}
-	sent := &atomic.Bool{}
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	target := "http://" + r.Address + "/v1/operations/" + url.PathEscape(string(r.Operation))
-	body := &onceReader{content: bytes.NewReader(content), sent: sent}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, body)
+	// The wrapper hides the type of the reader, so that GetBody stays nil and
+	// the body can't be sent a second time.
+	source := struct{ io.Reader }{strings.NewReader(string(body))}
+	request, err := http.NewRequestWithContext(traced, http.MethodPost, target, source)
 	if err != nil {
-		return nil, nil, errors.Trace(err)
+		return nil, NotRun{Cause: err}
 	}
-	request.GetBody = nil
-	request.ContentLength = int64(len(content))
+	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
-	return request, sent, nil
-}
-
-// onceReader notes when the body begins to be sent.
-type onceReader struct {
-	content io.Reader
-	sent    *atomic.Bool
+	response, err := c.client.Do(request)
+	switch {
+	case err == nil:
+		return response, nil
+	case !connected.Load():
+		// Without a connection no byte was written.
+		return nil, NotRun{Cause: cause(ctx, err)}
+	default:
+		return nil, Unknown{Cause: cause(ctx, err)}
+	}
 }
 
-// Read reads the body.
-func (o *onceReader) Read(p []byte) (int, error) {
-	o.sent.Store(true)
-	return o.content.Read(p)
+// cause prefers the reason for which the context ended.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
 }
 
-// read checks that the answer is whole and belongs to the call.
-func (c *Caller) read(r Request, response *http.Response) (record.Answer, error) {
+func status(response *http.Response) error {
+	leaving := response.Header.Get("X-Upstream-Leaving") == "true"
 	switch code := response.StatusCode; {
-	case code == http.StatusServiceUnavailable && response.Header.Get("X-Upstream-Leaving") == "true":
-		return record.Answer{}, Declined{Leaving: true, Cause: errors.New("the service is leaving")}
+	case code == http.StatusOK, code == http.StatusUnprocessableEntity:
+		return nil
+	case code == http.StatusServiceUnavailable && leaving:
+		return NotRun{Leaving: true, Cause: Leaving}
 	case code == http.StatusTooManyRequests:
-		return record.Answer{}, Declined{Cause: errors.New("the service is full")}
-	case code != http.StatusOK && code != http.StatusUnprocessableEntity:
-		return record.Answer{}, Unresolved{Cause: errors.Errorf("the service answers with status %d", code)}
-	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
-	if err != nil {
-		return record.Answer{}, Unresolved{Cause: err}
-	}
-	var body struct {
-		Program ident.ProgramID `json:"program"`
-		Call    ident.CallID    `json:"call_id"`
-		Attempt ident.Attempt   `json:"attempt"`
-		Result  string          `json:"result"`
-		Error   string          `json:"error"`
-	}
-	if err := json.Unmarshal(content, &body); err != nil {
-		return record.Answer{}, Unresolved{Cause: errors.Annotate(err, "answer")}
-	}
-	if body.Program != r.Program || body.Call != r.Call || body.Attempt != r.Attempt {
-		c.crossed.Add(1)
-		return record.Answer{}, Unresolved{Cause: errors.New("the answer belongs to another call")}
-	}
-	answer := record.Answer{Body: body.Result, Usage: record.Usage{Calls: 1}}
-	if response.StatusCode == http.StatusUnprocessableEntity {
-		answer.Body, answer.Failed = body.Error, true
+		return NotRun{Cause: Full}
+	default:
+		return Unknown{Cause: errors.Errorf("service answers with status %d", code)}
 	}
-	return answer, nil
 }
--- a/internal/upstreamprober/prober.go
+++ b/internal/upstreamprober/prober.go
@@ -1,11 +1,8 @@
-// Package upstreamprober asks upstreams about their load and cache, orders the
-// release of engine memory and looks results up.
 package upstreamprober
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
@@ -13,39 +10,55 @@
 
 	"github.com/juju/errors"
 
-	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
-	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
-// maxBody bounds the size of an answer that is read.
-const maxBody = 8 << 20
-
-// Prober asks upstreams. It is safe for concurrent use.
+// Prober reads the state of upstreams. It is safe for concurrent use.
 type Prober struct {
 	timers *timer.Service
 	limit  time.Duration
+	size   unit.Bytes
 	client *http.Client
 }
 
 // Option changes how New builds a Prober.
 type Option func(*Prober)
 
-// WithLimit sets the longest wait for an answer; the default is 2 s.
+// WithLimit limits the time of one operation; the default is 1 s, so that a
+// silent upstream is noticed well within the 5 s limit on the age of a view.
 func WithLimit(limit time.Duration) Option {
 	return func(p *Prober) { p.limit = limit }
 }
 
-// New returns a prober whose limit follows the timer service.
+// WithSize limits the size of an answer; the default is 4 MiB.
+func WithSize(size unit.Bytes) Option {
+	return func(p *Prober) { p.size = size }
+}
+
+// New returns a Prober whose limit follows the timer service.
 func New(timers *timer.Service, options ...Option) *Prober {
-	p := &Prober{timers: timers, limit: 2 * time.Second, client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     30 * time.Second,
-	}}}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	p := &Prober{
+		timers: timers,
+		limit:  time.Second,
+		size:   4 << 20,
+		client: &http.Client{
+			Transport: &http.Transport{
+				Protocols:           protocols,
+				DisableCompression:  true,
+				MaxIdleConnsPerHost: 2,
+				IdleConnTimeout:     time.Minute,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
 	for _, option := range options {
 		option(p)
 	}
@@ -54,116 +67,87 @@
 
 // ReadLoad reads the load of an upstream.
 func (p *Prober) ReadLoad(ctx context.Context, e effect.ReadLoad) message.UpstreamReported {
-	reported := message.UpstreamReported{Upstream: e.Upstream, StartedAt: p.timers.Now()}
-	var body struct {
-		Running       int         `json:"running"`
-		Waiting       int         `json:"waiting"`
-		WaitingTokens unit.Tokens `json:"waiting_tokens"`
-		Leaving       bool        `json:"leaving"`
-	}
-	if _, err := p.do(ctx, http.MethodGet, e.Address, "/load", nil, &body); err != nil {
-		reported.Err = err
-		return reported
-	}
-	reported.Running, reported.Waiting = max(body.Running, 0), max(body.Waiting, 0)
-	reported.WaitingTokens, reported.Leaving = max(body.WaitingTokens, 0), body.Leaving
-	return reported
+	started := p.timers.Now()
+	answer, err := p.exchange(ctx, http.MethodGet, e.Address, "/load", nil)
+	var report message.UpstreamReported
+	if err == nil {
+		report, err = decodeLoad(answer)
+	}
+	report.Upstream, report.StartedAt, report.Err = e.Upstream, started, annotate(err, "load", e.Address)
+	return report
 }
 
-// ReadCache reads the programs that an engine holds, as a whole.
+// ReadCache reads the complete list of programs that an engine holds.
 func (p *Prober) ReadCache(ctx context.Context, e effect.ReadCache) message.CacheRead {
-	read := message.CacheRead{Upstream: e.Upstream, Residents: map[ident.ProgramID]unit.Tokens{}}
-	var body struct {
-		Programs []struct {
-			Program ident.ProgramID `json:"program"`
-			Tokens  unit.Tokens     `json:"tokens"`
-		} `json:"programs"`
+	answer, err := p.exchange(ctx, http.MethodGet, e.Address, "/cache/programs", nil)
+	var report message.CacheRead
+	if err == nil {
+		report, err = decodeCache(answer)
 	}
-	if _, err := p.do(ctx, http.MethodGet, e.Address, "/cache/programs", nil, &body); err != nil {
-		read.Err = err
-		return read
-	}
-	for _, held := range body.Programs {
-		read.Residents[held.Program] = held.Tokens
-	}
-	read.Complete = true
-	return read
+	report.Upstream, report.Err = e.Upstream, annotate(err, "cache", e.Address)
+	return report
 }
 
-// Release orders an engine to free a program's prefix. An engine that has seen
-// a higher epoch refuses; the owner with that epoch sees to the release then.
+// Release orders an engine to free a program's memory.
 func (p *Prober) Release(ctx context.Context, e effect.Release) message.ReleaseDone {
-	order := struct {
-		Program ident.ProgramID `json:"program"`
-		Epoch   ident.Epoch     `json:"epoch"`
-	}{e.Program, e.Epoch}
-	_, err := p.do(ctx, http.MethodPost, e.Address, "/cache/release", order, nil)
-	return message.ReleaseDone{Program: e.Program, Upstream: e.Upstream, Err: err}
+	answer, err := p.exchange(ctx, http.MethodPost, e.Address, "/cache/release", encodeRelease(e))
+	if err == nil {
+		err = answer.want(http.StatusOK)
+	}
+	return message.ReleaseDone{Program: e.Program, Upstream: e.Upstream, Err: annotate(err, "release", e.Address)}
 }
 
 // LookUp asks a service for the result of a call.
 func (p *Prober) LookUp(ctx context.Context, e effect.LookUp) message.LookedUp {
-	found := message.LookedUp{Program: e.Program, Call: e.Call}
-	var body struct {
-		Program ident.ProgramID `json:"program"`
-		Call    ident.CallID    `json:"call_id"`
-		Result  string          `json:"result"`
-		Error   string          `json:"error"`
-	}
 	query := url.Values{"program": {string(e.Program)}, "call_id": {string(e.Call)}}
-	code, err := p.do(ctx, http.MethodGet, e.Address, "/v1/results?"+query.Encode(), nil, &body)
-	if code == http.StatusNotFound {
-		return found
-	}
-	if err != nil {
-		found.Err = err
-		return found
-	}
-	if body.Program != e.Program || body.Call != e.Call {
-		found.Err = errors.New("the result belongs to another call")
-		return found
-	}
-	found.Found = true
-	found.Answer = record.Answer{Body: body.Result, Usage: record.Usage{Calls: 1}}
-	if body.Error != "" {
-		found.Answer.Body, found.Answer.Failed = body.Error, true
-	}
-	return found
+	answer, err := p.exchange(ctx, http.MethodGet, e.Address, "/v1/results?"+query.Encode(), nil)
+	report := message.LookedUp{Program: e.Program, Call: e.Call}
+	if err == nil && answer.status != http.StatusNotFound {
+		var reply servicecaller.Reply
+		reply, err = decodeReply(answer, e)
+		report.Found, report.Answer = err == nil, reply.Answer
+	}
+	report.Err = annotate(err, "result", e.Address)
+	return report
 }
 
-// do sends a request and decodes the answer. It returns the status, 0 if there
-// was no answer; a status other than 200 is an error.
-func (p *Prober) do(ctx context.Context, method, address, path string, order, answer any) (int, error) {
+// exchange sends a request and reads the whole answer within the limits.
+func (p *Prober) exchange(ctx context.Context, method, address, path string, body []byte) (answer, error) {
 	ctx, cancel := expirer.Context(ctx, p.timers, p.limit)
 	defer cancel()
-	var body io.Reader
-	if order != nil {
-		content, err := json.Marshal(order)
-		if err != nil {
-			return 0, errors.Trace(err)
-		}
-		body = bytes.NewReader(content)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, errors.Trace(err)
+		return answer{}, errors.Trace(err)
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		// The connection may have gone silent; the next try opens another.
-		p.client.CloseIdleConnections()
-		return 0, errors.Annotatef(err, "upstream %s", address)
+		return answer{}, cause(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	data, err := io.ReadAll(io.LimitReader(response.Body, int64(p.size)+1))
 	if err != nil {
-		return response.StatusCode, errors.Annotatef(err, "upstream %s", address)
+		return answer{}, cause(ctx, err)
 	}
-	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusUnprocessableEntity {
-		return response.StatusCode, errors.Errorf("upstream %s answers %s with status %d", address, path, response.StatusCode)
+	if len(data) > int(p.size) {
+		return answer{}, errors.Annotatef(servicecaller.TooLong, "more than %d bytes", p.size)
 	}
-	if answer == nil {
-		return response.StatusCode, nil
+	return answer{status: response.StatusCode, body: data}, nil
+}
+
+// cause prefers the reason for which the context ended.
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+func annotate(err error, what, address string) error {
+	if err == nil {
+		return nil
 	}
-	return response.StatusCode, errors.Annotatef(json.Unmarshal(content, answer), "upstream %s", address)
+	return failure.New(failure.UpstreamFailed, "%s of upstream %s: %v; check the upstream", what, address, err)
 }
