--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -12,9 +12,8 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/settings"
 )
 
-// defaultMaxBytes also bounds the depth of nested values, which the TOML
-// library reads recursively.
-const defaultMaxBytes = 256 << 10
+// defaultMaxBytes has room for 19,000 accounts, which take 1.6 MB.
+const defaultMaxBytes = 4 << 20
 
 // Loader reads and checks settings.
 type Loader struct {
@@ -56,11 +55,15 @@
 	if int64(len(text)) > l.maxBytes {
 		return nil, Problems{{File: file, Line: 1, Message: "the file is too long; remove what the daemon does not need"}}
 	}
+	lines, deepLine := scan(text)
+	if deepLine > 0 {
+		return nil, Problems{{File: file, Line: deepLine, Message: "the value or key is nested too deeply; remove it"}}
+	}
 	var document map[string]any
 	if _, err := toml.Decode(text, &document); err != nil {
 		return nil, Problems{syntax(file, err)}
 	}
-	r := &reader{file: file, lines: scan(text), settings: &settings.Settings{}, failed: map[string]bool{}}
+	r := &reader{file: file, lines: lines, settings: &settings.Settings{}, failed: map[string]bool{}}
 	r.document(document)
 	r.rules()
 	if len(r.problems) > 0 {
--- a/internal/loader/value.go
+++ b/internal/loader/value.go
@@ -24,13 +24,16 @@
 	if kind, ok := key.Kind.(settings.Integer); ok {
 		return assignInteger(kind, scope, value)
 	}
-	text, ok := value.(string)
-	if !ok {
-		if _, isDuration := key.Kind.(settings.Duration); isDuration && isNumber(value) {
-			return fmt.Sprintf(`the number has no unit; write a text with a unit, such as "%v%s"`, value, likelyUnit(value))
-		}
-		return fmt.Sprintf("is no text; write a text in quotes (%s)", settings.Bounds(key.Kind))
+	if text, ok := value.(string); ok {
+		return assignText(key, scope, text)
+	}
+	if _, ok := key.Kind.(settings.Duration); ok && isNumber(value) {
+		return fmt.Sprintf(`the number has no unit; write a text with a unit, such as "%v%s"`, value, likelyUnit(value))
 	}
+	return fmt.Sprintf("is no text; write a text in quotes (%s)", settings.Bounds(key.Kind))
+}
+
+func assignText(key settings.Key, scope settings.Scope, text string) string {
 	switch kind := key.Kind.(type) {
 	case settings.Name:
 		if len(text) > settings.MaxNameLength || !namePattern.MatchString(text) {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -1,7 +1,3 @@
-// Package meter counts and measures what a daemon does.
-//
-// Series are labelled by team and class. Their number is bounded: after the
-// first values of a label, further values are counted under "other".
 package meter
 
 import (
@@ -16,128 +12,164 @@
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
-// Other is the label value of all values beyond the bound.
-const Other = "other"
+const (
+	defaultMaxTeams   = 32
+	defaultMaxClasses = 8
+	// maxOutcomes has room for all kinds of package failure, of which there
+	// were 20.
+	maxOutcomes = 40
+)
 
-// Result is the outcome of a call as it is counted: "completed", "failed",
-// "unknown" or the kind of a refusal.
-type Result string
+// The buckets are fixed, unlike those of the library's own histograms, so that
+// the number of series is known. 0.33 s is the limit for the first token; the
+// share of calls within it can be read from its bucket.
+var (
+	secondBounds = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1, 2, 4, 7, 15, 30, 60, 120, 300, 600, 1800, 3600}
+	// One message takes the control goroutine microseconds.
+	loopBounds  = []float64{0.000001, 0.000003, 0.00001, 0.00003, 0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1}
+	tokenBounds = []float64{0, 100, 1000, 4000, 16000, 64000, 128000, 256000, 390000}
+)
 
-// Meter has the metrics of one daemon. It is safe for concurrent use.
+// Meter counts and measures. It may be used by several goroutines.
 type Meter struct {
-	set    *metrics.Set
-	values int
+	set *metrics.Set
+
+	mu         sync.Mutex
+	maxTeams   int
+	maxClasses int
+	teams      bound
+	classes    bound
+	outcomes   bound
+	series     map[labels]*series
+
+	reads, writes, timeouts   *metrics.Counter
+	takeovers, crossedAnswers *metrics.Counter
+	commits, controlLoop      *metrics.PrometheusHistogram
+}
 
-	mu   sync.RWMutex
-	seen map[string]map[string]struct{}
+type labels struct{ team, class string }
+
+// series has the metrics of one team and class.
+type series struct {
+	program, call, queueing, firstToken, recomputed *metrics.PrometheusHistogram
+	outcomes                                        map[string]*metrics.Counter
 }
 
 // Option changes how New builds a Meter.
 type Option func(*Meter)
 
-// WithValues bounds the number of values of a label; the default is 32.
-func WithValues(count int) Option {
-	return func(m *Meter) { m.values = count }
-}
+// WithMaxTeams sets how many teams have labels of their own.
+func WithMaxTeams(n int) Option { return func(m *Meter) { m.maxTeams = n } }
+
+// WithMaxClasses sets how many classes have labels of their own.
+func WithMaxClasses(n int) Option { return func(m *Meter) { m.maxClasses = n } }
 
-// New returns a Meter with no series.
+// New returns a meter whose metrics are all zero.
 func New(options ...Option) *Meter {
-	m := &Meter{set: metrics.NewSet(), values: 32, seen: map[string]map[string]struct{}{}}
+	m := &Meter{set: metrics.NewSet(), series: map[labels]*series{}, maxTeams: defaultMaxTeams, maxClasses: defaultMaxClasses}
 	for _, option := range options {
 		option(m)
 	}
+	m.teams, m.classes, m.outcomes = newBound(m.maxTeams), newBound(m.maxClasses), newBound(maxOutcomes)
+	m.reads = m.set.NewCounter("sassafrasspur_platform_reads_total")
+	m.writes = m.set.NewCounter("sassafrasspur_platform_writes_total")
+	m.timeouts = m.set.NewCounter("sassafrasspur_platform_timeouts_total")
+	m.takeovers = m.set.NewCounter("sassafrasspur_takeovers_total")
+	m.crossedAnswers = m.set.NewCounter("sassafrasspur_crossed_answers_total")
+	m.commits = m.set.NewPrometheusHistogramExt("sassafrasspur_commit_seconds", secondBounds)
+	m.controlLoop = m.set.NewPrometheusHistogramExt("sassafrasspur_control_loop_seconds", loopBounds)
 	return m
 }
 
-// ProgramEnded measures the time from the opening of a program to its end.
-func (m *Meter) ProgramEnded(team ident.TeamID, class ident.Class, latency time.Duration) {
-	m.seconds("program_latency_seconds", team, class, latency)
+// ObserveCall counts a call that ended. The duration is from arrival to end. A
+// firstToken of 0 or less says that there was no token; it is not observed.
+func (m *Meter) ObserveCall(team ident.TeamID, class ident.Class, outcome Outcome, queueing, firstToken, duration time.Duration) {
+	s, counter := m.ofOutcome(team, class, label(outcome))
+	counter.Inc()
+	s.queueing.Update(queueing.Seconds())
+	s.call.Update(duration.Seconds())
+	if firstToken > 0 {
+		s.firstToken.Update(firstToken.Seconds())
+	}
 }
 
-// FirstToken measures the time from the arrival of a call to its first token.
-func (m *Meter) FirstToken(team ident.TeamID, class ident.Class, latency time.Duration) {
-	m.seconds("first_token_seconds", team, class, latency)
+// ObserveProgram observes the latency of a program that ended.
+func (m *Meter) ObserveProgram(team ident.TeamID, class ident.Class, latency time.Duration) {
+	m.of(team, class).program.Update(latency.Seconds())
 }
 
-// Queued measures the time that a call waited for an upstream.
-func (m *Meter) Queued(team ident.TeamID, class ident.Class, wait time.Duration) {
-	m.seconds("queueing_seconds", team, class, wait)
+// ObserveRecomputed observes the tokens of a call that an engine computed again
+// because their prefix was not cached.
+func (m *Meter) ObserveRecomputed(team ident.TeamID, class ident.Class, tokens unit.Tokens) {
+	m.of(team, class).recomputed.Update(float64(tokens))
 }
 
-// Wasted measures the tokens that a call computed again.
-func (m *Meter) Wasted(team ident.TeamID, class ident.Class, tokens unit.Tokens) {
-	m.histogram("wasted_tokens", team, class).Update(float64(tokens))
-}
+// CountRead counts a read of the platform.
+func (m *Meter) CountRead() { m.reads.Inc() }
 
-// CallEnded counts a call by its outcome.
-func (m *Meter) CallEnded(team ident.TeamID, class ident.Class, result Result) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_calls_total{team=%q,class=%q,result=%q}`,
-		m.bounded("team", string(team)), m.bounded("class", string(class)), m.bounded("result", string(result)))).Inc()
-}
+// CountWrite counts a write to the platform.
+func (m *Meter) CountWrite() { m.writes.Inc() }
 
-// PlatformRead counts reads of a service of the platform.
-func (m *Meter) PlatformRead(service string, count int) {
-	m.platform("reads", service, count)
-}
+// CountTimeout counts a request to the platform that was not answered in time.
+func (m *Meter) CountTimeout() { m.timeouts.Inc() }
 
-// PlatformWritten counts writes to a service of the platform.
-func (m *Meter) PlatformWritten(service string, count int) {
-	m.platform("writes", service, count)
-}
+// CountTakeover counts a takeover by this VM.
+func (m *Meter) CountTakeover() { m.takeovers.Inc() }
 
-// WritePrometheus writes all series in the text format of Prometheus.
-func (m *Meter) WritePrometheus(w io.Writer) { m.set.WritePrometheus(w) }
+// CountCrossedAnswer counts a message that was dropped because it belongs to
+// another call or attempt.
+func (m *Meter) CountCrossedAnswer() { m.crossedAnswers.Inc() }
 
-func (m *Meter) platform(what, service string, count int) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_platform_%s_total{service=%q}`, what, m.bounded("service", service))).Add(count)
-}
+// ObserveCommit observes the time from the start of a group commit until it was
+// durable.
+func (m *Meter) ObserveCommit(latency time.Duration) { m.commits.Update(latency.Seconds()) }
 
-func (m *Meter) seconds(name string, team ident.TeamID, class ident.Class, d time.Duration) {
-	m.histogram(name, team, class).Update(d.Seconds())
-}
+// ObserveControlLoop observes the time that the control goroutine took for one
+// message.
+func (m *Meter) ObserveControlLoop(latency time.Duration) { m.controlLoop.Update(latency.Seconds()) }
+
+// WritePrometheus writes all metrics in Prometheus text format. Errors of the
+// writer are ignored.
+func (m *Meter) WritePrometheus(w io.Writer) { m.set.WritePrometheus(w) }
 
-func (m *Meter) histogram(name string, team ident.TeamID, class ident.Class) *metrics.Histogram {
-	return m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafrasspur_%s{team=%q,class=%q}`,
-		name, m.bounded("team", string(team)), m.bounded("class", string(class))))
+// of returns the series of a team and class.
+func (m *Meter) of(team ident.TeamID, class ident.Class) *series {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, _ := m.locked(team, class)
+	return s
 }
 
-// bounded returns a value that may be used for a label: the value itself or
-// Other. Values that are not plain ASCII would need escapes that %q and the
-// text format write differently; they count as Other.
-func (m *Meter) bounded(label, value string) string {
-	if !plain(value) {
-		return Other
-	}
-	m.mu.RLock()
-	_, known := m.seen[label][value]
-	full := len(m.seen[label]) >= m.values
-	m.mu.RUnlock()
-	switch {
-	case known:
-		return value
-	case full:
-		return Other
-	}
+// ofOutcome returns the series of a team and class and its counter of an outcome.
+func (m *Meter) ofOutcome(team ident.TeamID, class ident.Class, outcome string) (*series, *metrics.Counter) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.seen[label] == nil {
-		m.seen[label] = map[string]struct{}{}
-	}
-	if _, known := m.seen[label][value]; !known && len(m.seen[label]) >= m.values {
-		return Other
+	s, key := m.locked(team, class)
+	outcome = m.outcomes.label(outcome)
+	counter, ok := s.outcomes[outcome]
+	if !ok {
+		counter = m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_calls_total{team="%s",class="%s",outcome="%s"}`, key.team, key.class, outcome))
+		s.outcomes[outcome] = counter
 	}
-	m.seen[label][value] = struct{}{}
-	return value
+	return s, counter
 }
 
-func plain(value string) bool {
-	if value == "" || len(value) > 64 {
-		return false
-	}
-	for i := range len(value) {
-		if c := value[i]; c <= ' ' || c > '~' || c == '"' || c == '\\' || c == '{' || c == '}' {
-			return false
+func (m *Meter) locked(team ident.TeamID, class ident.Class) (*series, labels) {
+	key := labels{team: m.teams.label(string(team)), class: m.classes.label(string(class))}
+	s, ok := m.series[key]
+	if !ok {
+		histogram := func(name string, bounds []float64) *metrics.PrometheusHistogram {
+			return m.set.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`sassafrasspur_%s{team="%s",class="%s"}`, name, key.team, key.class), bounds)
+		}
+		s = &series{
+			program:    histogram("program_seconds", secondBounds),
+			call:       histogram("call_seconds", secondBounds),
+			queueing:   histogram("queueing_seconds", secondBounds),
+			firstToken: histogram("first_token_seconds", secondBounds),
+			recomputed: histogram("recomputed_tokens", tokenBounds),
+			outcomes:   map[string]*metrics.Counter{},
 		}
+		m.series[key] = s
 	}
-	return true
+	return s, key
 }
