--- a/internal/nodetest/session_test.go
+++ b/internal/nodetest/session_test.go
@@ -283,10 +283,10 @@
 	switch words[0] {
 	case "plan":
 		text := fmt.Sprintf("[[intent]]\nkind = \"create_team\"\nid = %q\nmax_tokens = 1\nmax_calls = 1\n", words[1])
-		plan, err := s.plans.Create(ctx, text)
+		plan, err := s.plans.Create(ctx, "", text)
 		s.oracle.notef("operator: %s is made from version %d (error: %v)", plan.ID, plan.Base, err)
 	case "confirm":
-		_, err := s.plans.Confirm(ctx, ident.PlanID(words[1]))
+		_, err := s.plans.Confirm(ctx, "", ident.PlanID(words[1]))
 		s.oracle.notef("operator: confirms %s (error: %v)", words[1], err)
 	case "versions":
 		for _, n := range s.nodes {
