--- a/internal/capacitytest/world_test.go
+++ b/internal/capacitytest/world_test.go
@@ -3,7 +3,6 @@
 package capacitytest
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -297,16 +296,3 @@
 func callID(id ident.ProgramID, turn int) ident.CallID {
 	return ident.CallID(fmt.Sprintf("%s/%d", id, turn))
 }
-
-// objectStore keeps objects in memory.
-type objectStore map[string][]byte
-
-func (o objectStore) Put(_ context.Context, key string, content []byte) error {
-	o[key] = content
-	return nil
-}
-
-func (o objectStore) Get(_ context.Context, key string) ([]byte, bool, error) {
-	content, ok := o[key]
-	return content, ok, nil
-}
