assessor, front, printer: status says whether the system is healthy and what to do

The status listed numbers and left it to the operator to judge them. A lapsed VM without shards is a note only: rows of removed VMs are never deleted, and would make the system look broken for ever. The resolver keeps all unknown calls, also of services without a look-up, and operators see the ids of their own team only.

--- a/cmd/sassafrasspur/options.go
+++ b/cmd/sassafrasspur/options.go
@@ -23,7 +23,7 @@
 
 A request whose connection fails is sent again to another address. Give the same call id to repeat a call by hand.
 
-Exit codes: 0 success; 1 other failure; 2 wrong usage or invalid request; 3 credential refused; 4 not found; 5 conflict (position, budget, ended program, stale plan); 6 outcome unknown; 7 refused for now, repeat later; 8 no entry VM reached; 9 the call ran and was answered with an error.`
+Exit codes: 0 success; 1 other failure, or a status with problems; 2 wrong usage or invalid request; 3 credential refused; 4 not found; 5 conflict (position, budget, ended program, stale plan); 6 outcome unknown; 7 refused for now, repeat later; 8 no entry VM reached; 9 the call ran and was answered with an error.`
 
 // choice is the action of the command that was given.
 type choice struct {
--- a/design/operators.go
+++ b/design/operators.go
@@ -111,9 +111,30 @@
 	Attribute("drain", Boolean, "True if an operator asked that no new work be sent")
 	Attribute("leaving", Boolean, "True if the upstream is shutting down")
 	Attribute("usable", Boolean, "True if this node sends work to it")
+	Attribute("reason", String, "Why it is not usable: drained, leaving, unlisted or silent; empty if it is")
 	Attribute("in_flight", Int, "Calls of this node on the upstream")
 	Attribute("limit", Int, "Calls that this node may have on the upstream")
-	Required("upstream", "pool", "team", "address", "region", "domain", "slots", "drain", "leaving", "usable", "in_flight", "limit")
+	Required("upstream", "pool", "team", "address", "region", "domain", "slots", "drain", "leaving", "usable", "reason", "in_flight", "limit")
+})
+
+var finding = Type("Finding", func() {
+	Attribute("kind", String, "Kind of the finding; stable")
+	Attribute("text", String, "What was found")
+	Attribute("next_step", String, "What to do about it")
+	Required("kind", "text", "next_step")
+})
+
+var unknownCall = Type("UnknownCall", func() {
+	Attribute("program", String)
+	Attribute("call_id", String)
+	Required("program", "call_id")
+})
+
+var openOrder = Type("OpenOrder", func() {
+	Attribute("upstream", String)
+	Attribute("kind", String, "load_model, load_adapter or set_role")
+	Attribute("name", String)
+	Required("upstream", "kind", "name")
 })
 
 var vm = Type("VM", func() {
@@ -148,11 +169,21 @@
 			Attribute("shards_serving", Int)
 			Attribute("vms_live", Int)
 			Attribute("vms_leaving", Int)
+			Attribute("healthy", Boolean, "True if there are no problems")
+			Attribute("problems", ArrayOf(finding), "What holds calls up")
+			Attribute("notes", ArrayOf(finding), "What needs no action now")
+			Attribute("platform_reachable", Boolean, "True if this node has read the platform within 5 s")
+			Attribute("vms_lapsed", Int, "VMs that are closed or do not renew their lease")
+			Attribute("shards_without_owner", Int)
+			Attribute("outcomes_unknown", Int, "Calls of this node's shards whose outcome is unknown")
+			Attribute("unknown_calls", ArrayOf(unknownCall), "Those of the operator's own team, at most 100")
+			Attribute("open_orders", ArrayOf(openOrder), "Orders of this node's shards that engines have not confirmed")
 			Attribute("upstreams", Int)
 			Attribute("upstreams_usable", Int)
 			Required("vm", "incarnation", "state", "draining", "lease_ms", "configuration_version", "configuration_plan",
 				"configuration_fresh", "configuration_age_ms", "shards", "shards_owned", "shards_serving", "vms_live",
-				"vms_leaving", "upstreams", "upstreams_usable")
+				"vms_leaving", "upstreams", "upstreams_usable", "healthy", "problems", "notes", "platform_reachable",
+				"vms_lapsed", "shards_without_owner", "outcomes_unknown", "unknown_calls", "open_orders")
 		})
 		HTTP(func() {
 			GET("/status")
--- a/gen/http/cli/sassafrasspur/cli.go
+++ b/gen/http/cli/sassafrasspur/cli.go
@@ -35,10 +35,10 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "addresses list --account \"vo4\" --token \"Aut aut est reprehenderit suscipit.\"" + "\n" +
-		os.Args[0] + " " + "plans create --body '{\n      \"intent\": \"mi\"\n   }' --token \"Voluptatum deserunt fuga reiciendis perspiciatis.\"" + "\n" +
-		os.Args[0] + " " + "status show --token \"Quis non enim voluptatem.\"" + "\n" +
-		os.Args[0] + " " + "programs open --body '{\n      \"budget\": {\n         \"calls\": 2040296482728821774,\n         \"seconds\": 19153971,\n         \"tokens\": 1063726639118754342\n      },\n      \"class\": \"te\",\n      \"program\": \"bmgl\"\n   }' --token \"Nobis eligendi.\"" + "\n" +
+	return os.Args[0] + " " + "addresses list --account \"mnx\" --token \"Quos dolores et odio.\"" + "\n" +
+		os.Args[0] + " " + "plans create --body '{\n      \"intent\": \"w\"\n   }' --token \"Ea consequatur ullam.\"" + "\n" +
+		os.Args[0] + " " + "status show --token \"Non voluptatem laboriosam voluptas officia qui.\"" + "\n" +
+		os.Args[0] + " " + "programs open --body '{\n      \"budget\": {\n         \"calls\": 356591639097202932,\n         \"seconds\": 13415590,\n         \"tokens\": 3989703777860793468\n      },\n      \"class\": \"r\",\n      \"program\": \"f0m\"\n   }' --token \"Nesciunt exercitationem.\"" + "\n" +
 		""
 }
 
@@ -326,7 +326,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "addresses list --account \"vo4\" --token \"Aut aut est reprehenderit suscipit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "addresses list --account \"mnx\" --token \"Quos dolores et odio.\"")
 }
 
 // plansUsage displays the usage of the plans command and its subcommands.
@@ -358,7 +358,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans create --body '{\n      \"intent\": \"mi\"\n   }' --token \"Voluptatum deserunt fuga reiciendis perspiciatis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans create --body '{\n      \"intent\": \"w\"\n   }' --token \"Ea consequatur ullam.\"")
 }
 
 func plansShowUsage() {
@@ -378,7 +378,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans show --plan \"8\" --token \"Temporibus ab et est vitae a commodi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans show --plan \"q\" --token \"Beatae impedit aliquam aspernatur distinctio voluptatem dolore.\"")
 }
 
 func plansConfirmUsage() {
@@ -398,7 +398,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans confirm --plan \"c\" --token \"Voluptas tempore delectus quia vel incidunt ut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans confirm --plan \"4b\" --token \"Consequatur enim molestiae.\"")
 }
 
 // statusUsage displays the usage of the status command and its subcommands.
@@ -428,7 +428,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status show --token \"Quis non enim voluptatem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status show --token \"Non voluptatem laboriosam voluptas officia qui.\"")
 }
 
 func statusUpstreamsUsage() {
@@ -446,7 +446,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status upstreams --token \"Veritatis dolor.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status upstreams --token \"Ex quia praesentium sint tempora quidem.\"")
 }
 
 func statusVmsUsage() {
@@ -464,7 +464,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status vms --token \"Cumque quibusdam blanditiis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status vms --token \"Laborum deserunt assumenda asperiores eius et.\"")
 }
 
 // programsUsage displays the usage of the programs command and its subcommands.
@@ -498,7 +498,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs open --body '{\n      \"budget\": {\n         \"calls\": 2040296482728821774,\n         \"seconds\": 19153971,\n         \"tokens\": 1063726639118754342\n      },\n      \"class\": \"te\",\n      \"program\": \"bmgl\"\n   }' --token \"Nobis eligendi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs open --body '{\n      \"budget\": {\n         \"calls\": 356591639097202932,\n         \"seconds\": 13415590,\n         \"tokens\": 3989703777860793468\n      },\n      \"class\": \"r\",\n      \"program\": \"f0m\"\n   }' --token \"Nesciunt exercitationem.\"")
 }
 
 func programsChildUsage() {
@@ -520,7 +520,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs child --body '{\n      \"child\": \"c2x.68.92\"\n   }' --program \"l2n.6.9\" --token \"Eius optio vel occaecati ullam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs child --body '{\n      \"child\": \"n8-.2\"\n   }' --program \"fqo\" --token \"Reiciendis aperiam aliquam nesciunt nesciunt id aliquid.\"")
 }
 
 func programsCallUsage() {
@@ -542,7 +542,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs call --body '{\n      \"body\": \"Et alias aut optio necessitatibus.\",\n      \"call_id\": \"F\",\n      \"first_submission\": true,\n      \"max_tokens\": 1015724121798432888,\n      \"operation\": \"gts\",\n      \"pool\": \"e\",\n      \"position\": 3366458852146833152\n   }' --program \"zs3t.6815.3903\" --token \"Voluptatem voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs call --body '{\n      \"body\": \"Repellat asperiores rerum recusandae.\",\n      \"call_id\": \"7Y\",\n      \"first_submission\": false,\n      \"max_tokens\": 8722039629362857312,\n      \"operation\": \"qo2\",\n      \"pool\": \"b\",\n      \"position\": 3037047188165122319\n   }' --program \"vlfq\" --token \"Repellendus molestias est repellat enim.\"")
 }
 
 func programsEndUsage() {
@@ -562,7 +562,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs end --program \"z9n\" --token \"Ut doloremque qui ea aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs end --program \"2y8a.1096.0\" --token \"Rerum natus quam illum eveniet aut.\"")
 }
 
 func programsShowUsage() {
@@ -582,5 +582,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs show --program \"uu8\" --token \"Eius voluptatum delectus eos.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs show --program \"okg8.1\" --token \"Velit aut repellendus magnam.\"")
 }
--- a/gen/http/status/client/encode_decode.go
+++ b/gen/http/status/client/encode_decode.go
@@ -1008,6 +1008,41 @@
 	}
 }
 
+// unmarshalFindingResponseBodyToStatusFinding builds a value of type
+// *status.Finding from a value of type *FindingResponseBody.
+func unmarshalFindingResponseBodyToStatusFinding(v *FindingResponseBody) *status.Finding {
+	res := &status.Finding{
+		Kind:     *v.Kind,
+		Text:     *v.Text,
+		NextStep: *v.NextStep,
+	}
+
+	return res
+}
+
+// unmarshalUnknownCallResponseBodyToStatusUnknownCall builds a value of type
+// *status.UnknownCall from a value of type *UnknownCallResponseBody.
+func unmarshalUnknownCallResponseBodyToStatusUnknownCall(v *UnknownCallResponseBody) *status.UnknownCall {
+	res := &status.UnknownCall{
+		Program: *v.Program,
+		CallID:  *v.CallID,
+	}
+
+	return res
+}
+
+// unmarshalOpenOrderResponseBodyToStatusOpenOrder builds a value of type
+// *status.OpenOrder from a value of type *OpenOrderResponseBody.
+func unmarshalOpenOrderResponseBodyToStatusOpenOrder(v *OpenOrderResponseBody) *status.OpenOrder {
+	res := &status.OpenOrder{
+		Upstream: *v.Upstream,
+		Kind:     *v.Kind,
+		Name:     *v.Name,
+	}
+
+	return res
+}
+
 // unmarshalUpstreamResponseToStatusUpstream builds a value of type
 // *status.Upstream from a value of type *UpstreamResponse.
 func unmarshalUpstreamResponseToStatusUpstream(v *UpstreamResponse) *status.Upstream {
@@ -1022,6 +1057,7 @@
 		Drain:    *v.Drain,
 		Leaving:  *v.Leaving,
 		Usable:   *v.Usable,
+		Reason:   *v.Reason,
 		InFlight: *v.InFlight,
 		Limit:    *v.Limit,
 	}
--- a/gen/http/status/client/types.go
+++ b/gen/http/status/client/types.go
@@ -28,13 +28,30 @@
 	ConfigurationFresh *bool  `form:"configuration_fresh,omitempty" json:"configuration_fresh,omitempty" xml:"configuration_fresh,omitempty"`
 	ConfigurationAgeMs *int64 `form:"configuration_age_ms,omitempty" json:"configuration_age_ms,omitempty" xml:"configuration_age_ms,omitempty"`
 	// Shards in the assignment
-	Shards          *int `form:"shards,omitempty" json:"shards,omitempty" xml:"shards,omitempty"`
-	ShardsOwned     *int `form:"shards_owned,omitempty" json:"shards_owned,omitempty" xml:"shards_owned,omitempty"`
-	ShardsServing   *int `form:"shards_serving,omitempty" json:"shards_serving,omitempty" xml:"shards_serving,omitempty"`
-	VmsLive         *int `form:"vms_live,omitempty" json:"vms_live,omitempty" xml:"vms_live,omitempty"`
-	VmsLeaving      *int `form:"vms_leaving,omitempty" json:"vms_leaving,omitempty" xml:"vms_leaving,omitempty"`
-	Upstreams       *int `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
-	UpstreamsUsable *int `form:"upstreams_usable,omitempty" json:"upstreams_usable,omitempty" xml:"upstreams_usable,omitempty"`
+	Shards        *int `form:"shards,omitempty" json:"shards,omitempty" xml:"shards,omitempty"`
+	ShardsOwned   *int `form:"shards_owned,omitempty" json:"shards_owned,omitempty" xml:"shards_owned,omitempty"`
+	ShardsServing *int `form:"shards_serving,omitempty" json:"shards_serving,omitempty" xml:"shards_serving,omitempty"`
+	VmsLive       *int `form:"vms_live,omitempty" json:"vms_live,omitempty" xml:"vms_live,omitempty"`
+	VmsLeaving    *int `form:"vms_leaving,omitempty" json:"vms_leaving,omitempty" xml:"vms_leaving,omitempty"`
+	// True if there are no problems
+	Healthy *bool `form:"healthy,omitempty" json:"healthy,omitempty" xml:"healthy,omitempty"`
+	// What holds calls up
+	Problems []*FindingResponseBody `form:"problems,omitempty" json:"problems,omitempty" xml:"problems,omitempty"`
+	// What needs no action now
+	Notes []*FindingResponseBody `form:"notes,omitempty" json:"notes,omitempty" xml:"notes,omitempty"`
+	// True if this node has read the platform within 5 s
+	PlatformReachable *bool `form:"platform_reachable,omitempty" json:"platform_reachable,omitempty" xml:"platform_reachable,omitempty"`
+	// VMs that are closed or do not renew their lease
+	VmsLapsed          *int `form:"vms_lapsed,omitempty" json:"vms_lapsed,omitempty" xml:"vms_lapsed,omitempty"`
+	ShardsWithoutOwner *int `form:"shards_without_owner,omitempty" json:"shards_without_owner,omitempty" xml:"shards_without_owner,omitempty"`
+	// Calls of this node's shards whose outcome is unknown
+	OutcomesUnknown *int `form:"outcomes_unknown,omitempty" json:"outcomes_unknown,omitempty" xml:"outcomes_unknown,omitempty"`
+	// Those of the operator's own team, at most 100
+	UnknownCalls []*UnknownCallResponseBody `form:"unknown_calls,omitempty" json:"unknown_calls,omitempty" xml:"unknown_calls,omitempty"`
+	// Orders of this node's shards that engines have not confirmed
+	OpenOrders      []*OpenOrderResponseBody `form:"open_orders,omitempty" json:"open_orders,omitempty" xml:"open_orders,omitempty"`
+	Upstreams       *int                     `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
+	UpstreamsUsable *int                     `form:"upstreams_usable,omitempty" json:"upstreams_usable,omitempty" xml:"upstreams_usable,omitempty"`
 }
 
 // ShowInvalidResponseBody is the type of the "status" service "show" endpoint
@@ -397,6 +414,30 @@
 	RetryAfterMs *int64 `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
 }
 
+// FindingResponseBody is used to define fields on response body types.
+type FindingResponseBody struct {
+	// Kind of the finding; stable
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What was found
+	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+	// What to do about it
+	NextStep *string `form:"next_step,omitempty" json:"next_step,omitempty" xml:"next_step,omitempty"`
+}
+
+// UnknownCallResponseBody is used to define fields on response body types.
+type UnknownCallResponseBody struct {
+	Program *string `form:"program,omitempty" json:"program,omitempty" xml:"program,omitempty"`
+	CallID  *string `form:"call_id,omitempty" json:"call_id,omitempty" xml:"call_id,omitempty"`
+}
+
+// OpenOrderResponseBody is used to define fields on response body types.
+type OpenOrderResponseBody struct {
+	Upstream *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
+	// load_model, load_adapter or set_role
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+}
+
 // UpstreamResponse is used to define fields on response body types.
 type UpstreamResponse struct {
 	Upstream *string `form:"upstream,omitempty" json:"upstream,omitempty" xml:"upstream,omitempty"`
@@ -412,6 +453,8 @@
 	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
 	// True if this node sends work to it
 	Usable *bool `form:"usable,omitempty" json:"usable,omitempty" xml:"usable,omitempty"`
+	// Why it is not usable: drained, leaving, unlisted or silent; empty if it is
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 	// Calls of this node on the upstream
 	InFlight *int `form:"in_flight,omitempty" json:"in_flight,omitempty" xml:"in_flight,omitempty"`
 	// Calls that this node may have on the upstream
@@ -450,9 +493,46 @@
 		ShardsServing:        *body.ShardsServing,
 		VmsLive:              *body.VmsLive,
 		VmsLeaving:           *body.VmsLeaving,
+		Healthy:              *body.Healthy,
+		PlatformReachable:    *body.PlatformReachable,
+		VmsLapsed:            *body.VmsLapsed,
+		ShardsWithoutOwner:   *body.ShardsWithoutOwner,
+		OutcomesUnknown:      *body.OutcomesUnknown,
 		Upstreams:            *body.Upstreams,
 		UpstreamsUsable:      *body.UpstreamsUsable,
 	}
+	v.Problems = make([]*status.Finding, len(body.Problems))
+	for i, val := range body.Problems {
+		if val == nil {
+			v.Problems[i] = nil
+			continue
+		}
+		v.Problems[i] = unmarshalFindingResponseBodyToStatusFinding(val)
+	}
+	v.Notes = make([]*status.Finding, len(body.Notes))
+	for i, val := range body.Notes {
+		if val == nil {
+			v.Notes[i] = nil
+			continue
+		}
+		v.Notes[i] = unmarshalFindingResponseBodyToStatusFinding(val)
+	}
+	v.UnknownCalls = make([]*status.UnknownCall, len(body.UnknownCalls))
+	for i, val := range body.UnknownCalls {
+		if val == nil {
+			v.UnknownCalls[i] = nil
+			continue
+		}
+		v.UnknownCalls[i] = unmarshalUnknownCallResponseBodyToStatusUnknownCall(val)
+	}
+	v.OpenOrders = make([]*status.OpenOrder, len(body.OpenOrders))
+	for i, val := range body.OpenOrders {
+		if val == nil {
+			v.OpenOrders[i] = nil
+			continue
+		}
+		v.OpenOrders[i] = unmarshalOpenOrderResponseBodyToStatusOpenOrder(val)
+	}
 
 	return v
 }
@@ -879,6 +959,61 @@
 	if body.UpstreamsUsable == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("upstreams_usable", "body"))
 	}
+	if body.Healthy == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("healthy", "body"))
+	}
+	if body.Problems == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("problems", "body"))
+	}
+	if body.Notes == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("notes", "body"))
+	}
+	if body.PlatformReachable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("platform_reachable", "body"))
+	}
+	if body.VmsLapsed == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("vms_lapsed", "body"))
+	}
+	if body.ShardsWithoutOwner == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("shards_without_owner", "body"))
+	}
+	if body.OutcomesUnknown == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcomes_unknown", "body"))
+	}
+	if body.UnknownCalls == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("unknown_calls", "body"))
+	}
+	if body.OpenOrders == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("open_orders", "body"))
+	}
+	for _, e := range body.Problems {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.Notes {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.UnknownCalls {
+		if e != nil {
+			if err2 := ValidateUnknownCallResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	for _, e := range body.OpenOrders {
+		if e != nil {
+			if err2 := ValidateOpenOrderResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
 	return
 }
 
@@ -1386,6 +1521,48 @@
 	return
 }
 
+// ValidateFindingResponseBody runs the validations defined on
+// FindingResponseBody
+func ValidateFindingResponseBody(body *FindingResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Text == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("text", "body"))
+	}
+	if body.NextStep == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("next_step", "body"))
+	}
+	return
+}
+
+// ValidateUnknownCallResponseBody runs the validations defined on
+// UnknownCallResponseBody
+func ValidateUnknownCallResponseBody(body *UnknownCallResponseBody) (err error) {
+	if body.Program == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("program", "body"))
+	}
+	if body.CallID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("call_id", "body"))
+	}
+	return
+}
+
+// ValidateOpenOrderResponseBody runs the validations defined on
+// OpenOrderResponseBody
+func ValidateOpenOrderResponseBody(body *OpenOrderResponseBody) (err error) {
+	if body.Upstream == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("upstream", "body"))
+	}
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	return
+}
+
 // ValidateUpstreamResponse runs the validations defined on UpstreamResponse
 func ValidateUpstreamResponse(body *UpstreamResponse) (err error) {
 	if body.Upstream == nil {
@@ -1418,6 +1595,9 @@
 	if body.Usable == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("usable", "body"))
 	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
 	if body.InFlight == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("in_flight", "body"))
 	}
--- a/gen/http/status/server/encode_decode.go
+++ b/gen/http/status/server/encode_decode.go
@@ -611,6 +611,41 @@
 	}
 }
 
+// marshalStatusFindingToFindingResponseBody builds a value of type
+// *FindingResponseBody from a value of type *status.Finding.
+func marshalStatusFindingToFindingResponseBody(v *status.Finding) *FindingResponseBody {
+	res := &FindingResponseBody{
+		Kind:     v.Kind,
+		Text:     v.Text,
+		NextStep: v.NextStep,
+	}
+
+	return res
+}
+
+// marshalStatusUnknownCallToUnknownCallResponseBody builds a value of type
+// *UnknownCallResponseBody from a value of type *status.UnknownCall.
+func marshalStatusUnknownCallToUnknownCallResponseBody(v *status.UnknownCall) *UnknownCallResponseBody {
+	res := &UnknownCallResponseBody{
+		Program: v.Program,
+		CallID:  v.CallID,
+	}
+
+	return res
+}
+
+// marshalStatusOpenOrderToOpenOrderResponseBody builds a value of type
+// *OpenOrderResponseBody from a value of type *status.OpenOrder.
+func marshalStatusOpenOrderToOpenOrderResponseBody(v *status.OpenOrder) *OpenOrderResponseBody {
+	res := &OpenOrderResponseBody{
+		Upstream: v.Upstream,
+		Kind:     v.Kind,
+		Name:     v.Name,
+	}
+
+	return res
+}
+
 // marshalStatusUpstreamToUpstreamResponse builds a value of type
 // *UpstreamResponse from a value of type *status.Upstream.
 func marshalStatusUpstreamToUpstreamResponse(v *status.Upstream) *UpstreamResponse {
@@ -625,6 +660,7 @@
 		Drain:    v.Drain,
 		Leaving:  v.Leaving,
 		Usable:   v.Usable,
+		Reason:   v.Reason,
 		InFlight: v.InFlight,
 		Limit:    v.Limit,
 	}
--- a/gen/http/status/server/types.go
+++ b/gen/http/status/server/types.go
@@ -27,13 +27,30 @@
 	ConfigurationFresh bool  `form:"configuration_fresh" json:"configuration_fresh" xml:"configuration_fresh"`
 	ConfigurationAgeMs int64 `form:"configuration_age_ms" json:"configuration_age_ms" xml:"configuration_age_ms"`
 	// Shards in the assignment
-	Shards          int `form:"shards" json:"shards" xml:"shards"`
-	ShardsOwned     int `form:"shards_owned" json:"shards_owned" xml:"shards_owned"`
-	ShardsServing   int `form:"shards_serving" json:"shards_serving" xml:"shards_serving"`
-	VmsLive         int `form:"vms_live" json:"vms_live" xml:"vms_live"`
-	VmsLeaving      int `form:"vms_leaving" json:"vms_leaving" xml:"vms_leaving"`
-	Upstreams       int `form:"upstreams" json:"upstreams" xml:"upstreams"`
-	UpstreamsUsable int `form:"upstreams_usable" json:"upstreams_usable" xml:"upstreams_usable"`
+	Shards        int `form:"shards" json:"shards" xml:"shards"`
+	ShardsOwned   int `form:"shards_owned" json:"shards_owned" xml:"shards_owned"`
+	ShardsServing int `form:"shards_serving" json:"shards_serving" xml:"shards_serving"`
+	VmsLive       int `form:"vms_live" json:"vms_live" xml:"vms_live"`
+	VmsLeaving    int `form:"vms_leaving" json:"vms_leaving" xml:"vms_leaving"`
+	// True if there are no problems
+	Healthy bool `form:"healthy" json:"healthy" xml:"healthy"`
+	// What holds calls up
+	Problems []*FindingResponseBody `form:"problems" json:"problems" xml:"problems"`
+	// What needs no action now
+	Notes []*FindingResponseBody `form:"notes" json:"notes" xml:"notes"`
+	// True if this node has read the platform within 5 s
+	PlatformReachable bool `form:"platform_reachable" json:"platform_reachable" xml:"platform_reachable"`
+	// VMs that are closed or do not renew their lease
+	VmsLapsed          int `form:"vms_lapsed" json:"vms_lapsed" xml:"vms_lapsed"`
+	ShardsWithoutOwner int `form:"shards_without_owner" json:"shards_without_owner" xml:"shards_without_owner"`
+	// Calls of this node's shards whose outcome is unknown
+	OutcomesUnknown int `form:"outcomes_unknown" json:"outcomes_unknown" xml:"outcomes_unknown"`
+	// Those of the operator's own team, at most 100
+	UnknownCalls []*UnknownCallResponseBody `form:"unknown_calls" json:"unknown_calls" xml:"unknown_calls"`
+	// Orders of this node's shards that engines have not confirmed
+	OpenOrders      []*OpenOrderResponseBody `form:"open_orders" json:"open_orders" xml:"open_orders"`
+	Upstreams       int                      `form:"upstreams" json:"upstreams" xml:"upstreams"`
+	UpstreamsUsable int                      `form:"upstreams_usable" json:"upstreams_usable" xml:"upstreams_usable"`
 }
 
 // UpstreamsResponseBody is the type of the "status" service "upstreams"
@@ -404,6 +421,30 @@
 	RetryAfterMs int64 `form:"retry_after_ms" json:"retry_after_ms" xml:"retry_after_ms"`
 }
 
+// FindingResponseBody is used to define fields on response body types.
+type FindingResponseBody struct {
+	// Kind of the finding; stable
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What was found
+	Text string `form:"text" json:"text" xml:"text"`
+	// What to do about it
+	NextStep string `form:"next_step" json:"next_step" xml:"next_step"`
+}
+
+// UnknownCallResponseBody is used to define fields on response body types.
+type UnknownCallResponseBody struct {
+	Program string `form:"program" json:"program" xml:"program"`
+	CallID  string `form:"call_id" json:"call_id" xml:"call_id"`
+}
+
+// OpenOrderResponseBody is used to define fields on response body types.
+type OpenOrderResponseBody struct {
+	Upstream string `form:"upstream" json:"upstream" xml:"upstream"`
+	// load_model, load_adapter or set_role
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	Name string `form:"name" json:"name" xml:"name"`
+}
+
 // UpstreamResponse is used to define fields on response body types.
 type UpstreamResponse struct {
 	Upstream string `form:"upstream" json:"upstream" xml:"upstream"`
@@ -419,6 +460,8 @@
 	Leaving bool `form:"leaving" json:"leaving" xml:"leaving"`
 	// True if this node sends work to it
 	Usable bool `form:"usable" json:"usable" xml:"usable"`
+	// Why it is not usable: drained, leaving, unlisted or silent; empty if it is
+	Reason string `form:"reason" json:"reason" xml:"reason"`
 	// Calls of this node on the upstream
 	InFlight int `form:"in_flight" json:"in_flight" xml:"in_flight"`
 	// Calls that this node may have on the upstream
@@ -457,9 +500,62 @@
 		ShardsServing:        res.ShardsServing,
 		VmsLive:              res.VmsLive,
 		VmsLeaving:           res.VmsLeaving,
+		Healthy:              res.Healthy,
+		PlatformReachable:    res.PlatformReachable,
+		VmsLapsed:            res.VmsLapsed,
+		ShardsWithoutOwner:   res.ShardsWithoutOwner,
+		OutcomesUnknown:      res.OutcomesUnknown,
 		Upstreams:            res.Upstreams,
 		UpstreamsUsable:      res.UpstreamsUsable,
 	}
+	if res.Problems != nil {
+		body.Problems = make([]*FindingResponseBody, len(res.Problems))
+		for i, val := range res.Problems {
+			if val == nil {
+				body.Problems[i] = nil
+				continue
+			}
+			body.Problems[i] = marshalStatusFindingToFindingResponseBody(val)
+		}
+	} else {
+		body.Problems = []*FindingResponseBody{}
+	}
+	if res.Notes != nil {
+		body.Notes = make([]*FindingResponseBody, len(res.Notes))
+		for i, val := range res.Notes {
+			if val == nil {
+				body.Notes[i] = nil
+				continue
+			}
+			body.Notes[i] = marshalStatusFindingToFindingResponseBody(val)
+		}
+	} else {
+		body.Notes = []*FindingResponseBody{}
+	}
+	if res.UnknownCalls != nil {
+		body.UnknownCalls = make([]*UnknownCallResponseBody, len(res.UnknownCalls))
+		for i, val := range res.UnknownCalls {
+			if val == nil {
+				body.UnknownCalls[i] = nil
+				continue
+			}
+			body.UnknownCalls[i] = marshalStatusUnknownCallToUnknownCallResponseBody(val)
+		}
+	} else {
+		body.UnknownCalls = []*UnknownCallResponseBody{}
+	}
+	if res.OpenOrders != nil {
+		body.OpenOrders = make([]*OpenOrderResponseBody, len(res.OpenOrders))
+		for i, val := range res.OpenOrders {
+			if val == nil {
+				body.OpenOrders[i] = nil
+				continue
+			}
+			body.OpenOrders[i] = marshalStatusOpenOrderToOpenOrderResponseBody(val)
+		}
+	} else {
+		body.OpenOrders = []*OpenOrderResponseBody{}
+	}
 	return body
 }
 
--- a/gen/status/service.go
+++ b/gen/status/service.go
@@ -45,6 +45,22 @@
 // MethodKey key.
 var MethodNames = [3]string{"show", "upstreams", "vms"}
 
+type Finding struct {
+	// Kind of the finding; stable
+	Kind string
+	// What was found
+	Text string
+	// What to do about it
+	NextStep string
+}
+
+type OpenOrder struct {
+	Upstream string
+	// load_model, load_adapter or set_role
+	Kind string
+	Name string
+}
+
 // ShowPayload is the payload type of the status service show method.
 type ShowPayload struct {
 	// Credential of the account
@@ -65,15 +81,37 @@
 	ConfigurationFresh bool
 	ConfigurationAgeMs int64
 	// Shards in the assignment
-	Shards          int
-	ShardsOwned     int
-	ShardsServing   int
-	VmsLive         int
-	VmsLeaving      int
+	Shards        int
+	ShardsOwned   int
+	ShardsServing int
+	VmsLive       int
+	VmsLeaving    int
+	// True if there are no problems
+	Healthy bool
+	// What holds calls up
+	Problems []*Finding
+	// What needs no action now
+	Notes []*Finding
+	// True if this node has read the platform within 5 s
+	PlatformReachable bool
+	// VMs that are closed or do not renew their lease
+	VmsLapsed          int
+	ShardsWithoutOwner int
+	// Calls of this node's shards whose outcome is unknown
+	OutcomesUnknown int
+	// Those of the operator's own team, at most 100
+	UnknownCalls []*UnknownCall
+	// Orders of this node's shards that engines have not confirmed
+	OpenOrders      []*OpenOrder
 	Upstreams       int
 	UpstreamsUsable int
 }
 
+type UnknownCall struct {
+	Program string
+	CallID  string
+}
+
 type Upstream struct {
 	Upstream string
 	Pool     string
@@ -88,6 +126,8 @@
 	Leaving bool
 	// True if this node sends work to it
 	Usable bool
+	// Why it is not usable: drained, leaving, unlisted or silent; empty if it is
+	Reason string
 	// Calls of this node on the upstream
 	InFlight int
 	// Calls that this node may have on the upstream
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -29,6 +29,9 @@
 // answerFailed is the kind of a call that ran and was answered with an error.
 const answerFailed = failure.Kind("answer_failed")
 
+// unhealthy is the kind of a status with problems.
+const unhealthy = failure.Kind("unhealthy")
+
 // ExitCode returns the exit code of an error.
 func ExitCode(err error) int {
 	if err == nil {
@@ -147,9 +150,16 @@
 	return show(c.printer.Plan)(c.client.ConfirmPlan(ctx, plan))
 }
 
-// Status shows the state of the system.
+// Status shows the state of the system. It fails if that is not healthy.
 func (c *Commander) Status(ctx context.Context) error {
-	return show(c.printer.Status)(c.client.Status(ctx))
+	result, err := c.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.printer.Status(result); err != nil || result.Healthy {
+		return err
+	}
+	return failure.New(unhealthy, "the system has problems; take the next steps that the status names")
 }
 
 // Upstreams lists the upstreams.
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -10,6 +10,7 @@
 	"github.com/sassafrasspur/sassafrasspur/gen/status"
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/assessor"
 	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
@@ -71,9 +72,13 @@
 
 type statusService struct{ *Front }
 
+// maxUnknown bounds the calls in one status.
+const maxUnknown = 100
+
 // Show returns the state of the system as this node sees it.
 func (s *statusService) Show(ctx context.Context, _ *status.ShowPayload) (*status.ShowResult, error) {
-	if _, err := s.operator(ctx); err != nil {
+	account, err := s.operator(ctx)
+	if err != nil {
 		return nil, err
 	}
 	view, err := s.current()
@@ -81,6 +86,7 @@
 		return nil, err
 	}
 	now := s.timers.Now()
+	assessed := assessor.Assessor{}.Assess(now, view)
 	result := &status.ShowResult{
 		VM:                   string(view.Self.VM),
 		Incarnation:          uint64(view.Self.Incarnation),
@@ -94,25 +100,50 @@
 		Shards:               len(view.Assignment.Owners),
 		ShardsOwned:          len(view.Assignment.OwnedBy(view.Self.VM, view.Self.Incarnation)),
 		ShardsServing:        view.Serving,
+		ShardsWithoutOwner:   assessed.Orphans,
+		VmsLive:              assessed.Live,
+		VmsLeaving:           assessed.Departing,
+		VmsLapsed:            assessed.Lapsed,
 		Upstreams:            len(view.Configuration.Upstreams),
-	}
-	for _, node := range nodes(view) {
-		switch node.State {
-		case cluster.Live:
-			result.VmsLive++
-		case cluster.Leaving:
-			result.VmsLeaving++
-		case cluster.Closed:
-		}
+		Healthy:              assessed.Healthy,
+		PlatformReachable:    assessed.PlatformReachable,
+		OutcomesUnknown:      len(view.Unknown),
+		Problems:             []*status.Finding{},
+		Notes:                []*status.Finding{},
+		UnknownCalls:         unknownCalls(view, account.Team),
+		OpenOrders:           []*status.OpenOrder{},
 	}
 	for _, load := range view.UpstreamLoads {
 		if load.Usable {
 			result.UpstreamsUsable++
 		}
 	}
+	for _, f := range assessed.Findings {
+		found := &status.Finding{Kind: string(f.Kind), Text: f.Text, NextStep: f.Next}
+		if f.Note {
+			result.Notes = append(result.Notes, found)
+		} else {
+			result.Problems = append(result.Problems, found)
+		}
+	}
+	for _, o := range view.OpenOrders {
+		result.OpenOrders = append(result.OpenOrders, &status.OpenOrder{Upstream: string(o.Upstream), Kind: string(o.Kind), Name: o.Name})
+	}
 	return result, nil
 }
 
+// unknownCalls lists the calls of a team; operators do not see the programs of
+// other teams.
+func unknownCalls(view *snapshot.Snapshot, team ident.TeamID) []*status.UnknownCall {
+	calls := []*status.UnknownCall{}
+	for _, call := range view.Unknown {
+		if call.Team == team && len(calls) < maxUnknown {
+			calls = append(calls, &status.UnknownCall{Program: string(call.Program), CallID: string(call.Call)})
+		}
+	}
+	return calls
+}
+
 // Upstreams returns the configured upstreams and this node's use of them.
 func (s *statusService) Upstreams(ctx context.Context, _ *status.UpstreamsPayload) ([]*status.Upstream, error) {
 	if _, err := s.operator(ctx); err != nil {
@@ -140,6 +171,7 @@
 			Drain:    u.Drain,
 			Leaving:  slices.Contains(view.Leaving, u.ID),
 			Usable:   load.Usable,
+			Reason:   string(load.Reason),
 			InFlight: load.InFlight,
 			Limit:    load.Limit,
 		})
--- a/internal/message/control.go
+++ b/internal/message/control.go
@@ -73,6 +73,7 @@
 
 // LookUpWanted asks for the result of a call whose outcome is unknown.
 type LookUpWanted struct {
+	Team     ident.TeamID
 	Program  ident.ProgramID
 	Call     ident.CallID
 	Attempt  ident.Attempt
--- a/internal/placer/pass.go
+++ b/internal/placer/pass.go
@@ -148,7 +148,7 @@
 			result.unpaid = true
 			continue
 		}
-		if !u.usable {
+		if !u.usable() {
 			result.unknown = true
 			continue
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -214,7 +214,8 @@
 			Upstream: u.ID,
 			InFlight: state.inFlight,
 			Limit:    state.limit.Allowed(state.bounds()),
-			Usable:   state.usable,
+			Usable:   state.usable(),
+			Reason:   state.unusable,
 		})
 	}
 }
--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -9,6 +9,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/internal/router"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
@@ -73,14 +74,14 @@
 	held     map[ident.TeamID]int
 	limit    limiter.State
 	estimate router.Estimate
-	// usable is the result of the last check.
-	usable bool
+	// unusable is the result of the last check; empty if the upstream is usable.
+	unusable snapshot.Unusable
 }
 
 // newUpstream returns an upstream with unknown views. The calls in flight at its
 // earlier address, if there was one, still count.
 func newUpstream(earlier *upstream, now time.Time) *upstream {
-	u := &upstream{held: map[ident.TeamID]int{}, estimate: unobserved, createdAt: now}
+	u := &upstream{held: map[ident.TeamID]int{}, estimate: unobserved, createdAt: now, unusable: snapshot.Silent}
 	if earlier != nil {
 		u.inFlight, u.held = earlier.inFlight, earlier.held
 	}
@@ -95,12 +96,23 @@
 
 func (u *upstream) leaving() bool { return u.leavingFirstHand() || !u.peerAt.IsZero() }
 
-// known reports whether both views of the upstream are young enough.
-func (u *upstream) known(now time.Time, limit time.Duration) bool {
-	return !u.listedAt.IsZero() && now.Sub(u.listedAt) <= limit &&
-		!u.reportedAt.IsZero() && now.Sub(u.reportedAt) <= limit
+// check returns why the upstream may not get new work; empty if it may.
+func (u *upstream) check(now time.Time, limit time.Duration) snapshot.Unusable {
+	switch {
+	case u.configuration.Drain:
+		return snapshot.Drained
+	case u.leaving():
+		return snapshot.UpstreamLeaving
+	case u.reportedAt.IsZero() || now.Sub(u.reportedAt) > limit:
+		return snapshot.Silent
+	case u.listedAt.IsZero() || now.Sub(u.listedAt) > limit:
+		return snapshot.Unlisted
+	}
+	return ""
 }
 
+func (u *upstream) usable() bool { return u.unusable == "" }
+
 func (u *upstream) candidate(cached unit.Tokens, free bool) router.Candidate {
 	return router.Candidate{
 		Upstream:         u.configuration.ID,
--- a/internal/placer/views.go
+++ b/internal/placer/views.go
@@ -117,9 +117,9 @@
 // check updates which upstreams of a pool may get new work.
 func (r *round) check(upstreams []*upstream) {
 	for _, u := range upstreams {
-		usable := !u.leaving() && u.known(r.now, r.placer.viewLimit)
-		if usable != u.usable {
-			u.usable, r.changed = usable, true
+		unusable := u.check(r.now, r.placer.viewLimit)
+		if unusable != u.unusable {
+			u.unusable, r.changed = unusable, true
 		}
 	}
 }
--- a/internal/printer/printer.go
+++ b/internal/printer/printer.go
@@ -183,29 +183,6 @@
 	return err
 }
 
-// Status writes the state of the system.
-func (p *Printer) Status(v *status.ShowResult) error {
-	if p.json {
-		return p.encode(statusserver.NewShowResponseBody(v))
-	}
-	fresh := "fresh"
-	if !v.ConfigurationFresh {
-		fresh = "too old for new work"
-	}
-	state := v.State
-	if v.Draining {
-		state += ", draining"
-	}
-	return p.rows([][]any{
-		{"vm", fmt.Sprintf("%s, incarnation %d, %s", v.VM, v.Incarnation, state)},
-		{"lease", fmt.Sprintf("%d ms left", v.LeaseMs)},
-		{"configuration", fmt.Sprintf("version %d of plan %q, %s, read %d ms ago", v.ConfigurationVersion, v.ConfigurationPlan, fresh, v.ConfigurationAgeMs)},
-		{"shards", fmt.Sprintf("%d, of which %d owned and %d served here", v.Shards, v.ShardsOwned, v.ShardsServing)},
-		{"vms", fmt.Sprintf("%d live, %d leaving", v.VmsLive, v.VmsLeaving)},
-		{"upstreams", fmt.Sprintf("%d, of which %d usable", v.Upstreams, v.UpstreamsUsable)},
-	})
-}
-
 // Upstreams writes upstreams.
 func (p *Printer) Upstreams(list []*status.Upstream) error {
 	if p.json {
@@ -220,7 +197,7 @@
 		case u.Drain:
 			state = "draining"
 		case !u.Usable:
-			state = "not usable"
+			state = u.Reason
 		}
 		rows = append(rows, []any{u.Upstream, u.Pool, u.Team, u.Address, u.Region, u.Domain, u.Slots, u.InFlight, u.Limit, state})
 	}
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -87,7 +87,7 @@
 // Describe adds the calls whose outcome is unknown.
 func (r *Resolver) Describe(s *snapshot.Snapshot) {
 	for _, k := range slices.SortedFunc(maps.Keys(r.pending), compareKeys) {
-		s.Unknown = append(s.Unknown, snapshot.UnknownCall{Program: k.program, Call: k.call})
+		s.Unknown = append(s.Unknown, snapshot.UnknownCall{Team: r.pending[k].wanted.Team, Program: k.program, Call: k.call})
 	}
 }
 
--- a/internal/sequencer/progress.go
+++ b/internal/sequencer/progress.go
@@ -257,6 +257,7 @@
 func lookUp(on *shard, state *program.State, id ident.CallID) message.LookUpWanted {
 	call := state.Calls[id]
 	return message.LookUpWanted{
+		Team:     state.Team,
 		Program:  state.ID,
 		Call:     id,
 		Attempt:  call.Attempt,
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -44,6 +44,7 @@
 
 // UnknownCall is a call whose outcome is unknown.
 type UnknownCall struct {
+	Team    ident.TeamID
 	Program ident.ProgramID
 	Call    ident.CallID
 }
@@ -54,8 +55,25 @@
 	InFlight int
 	Limit    int
 	Usable   bool
+	// Reason says why the upstream is not usable; empty if it is.
+	Reason Unusable
 }
 
+// Unusable says why an upstream gets no new work.
+type Unusable string
+
+// Reasons.
+const (
+	// Drained upstreams are taken out of use by a plan.
+	Drained Unusable = "drained"
+	// UpstreamLeaving upstreams are shutting down.
+	UpstreamLeaving Unusable = "leaving"
+	// Unlisted upstreams have no current entry in the platform's list.
+	Unlisted Unusable = "unlisted"
+	// Silent upstreams give no load report.
+	Silent Unusable = "silent"
+)
+
 // Owner returns the node that owns a program.
 func (s *Snapshot) Owner(p ident.ProgramID) (cluster.Node, cluster.Owner, bool) {
 	if len(s.Assignment.Owners) == 0 {
