intentparser, front: bound what hostile input can cost

An intent of 4 MB of opening brackets overflowed the stack of the TOML library and ended the process (trial: fatal error), and a dotted key of 40 KB took it 26 s (trial). The text is now limited to 128 KB, nesting and key parts to 16, and the list of errors to about 50. A caller that stops in the middle of a body is cut after 30 s; a time limit of the server was ruled out, because it would cut long answers too. Unknown paths and methods get a kind and a remedy.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 	goahttp "goa.design/goa/v3/http"
@@ -52,6 +53,7 @@
 	timers    *timer.Service
 	addresser *addresser.Addresser
 	maxBody   unit.Bytes
+	bodyLimit time.Duration
 	free      func() map[ident.VMID]unit.Ratio
 	log       zerolog.Logger
 }
@@ -64,6 +66,11 @@
 	return func(f *Front) { f.maxBody = n }
 }
 
+// WithBodyLimit sets how long a caller may take to send a body.
+func WithBodyLimit(limit time.Duration) Option {
+	return func(f *Front) { f.bodyLimit = limit }
+}
+
 // WithFreeCapacity sets the source of the free part of each node's capacity.
 // Without it all nodes count as free.
 func WithFreeCapacity(free func() map[ident.VMID]unit.Ratio) Option {
@@ -94,6 +101,7 @@
 		timers:    timers,
 		addresser: chooser,
 		maxBody:   DefaultMaxBody,
+		bodyLimit: 30 * time.Second,
 		free:      func() map[ident.VMID]unit.Ratio { return nil },
 		log:       zerolog.Nop(),
 	}
@@ -111,13 +119,19 @@
 	programserver.Mount(mux, programserver.New(programs.NewEndpoints(&programService{f}), mux, decode, encode, f.encodingFailed, format))
 	planserver.Mount(mux, planserver.New(plans.NewEndpoints(&planService{f}), mux, decode, encode, f.encodingFailed, format))
 	statusserver.Mount(mux, statusserver.New(status.NewEndpoints(&statusService{f}), mux, decode, encode, f.encodingFailed, format))
+	if router, ok := mux.(interface{ NotFound(http.HandlerFunc) }); ok {
+		router.NotFound(f.unknown)
+	}
+	if router, ok := mux.(interface{ MethodNotAllowed(http.HandlerFunc) }); ok {
+		router.MethodNotAllowed(f.unknown)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Callers that keep connections to a leaving node would not ask for
 		// another address before the node closes them.
 		if s := f.snapshots(); s != nil && s.Draining {
 			w.Header().Set("Connection", "close")
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, int64(f.maxBody))
+		r.Body = f.limit(w, r)
 		mux.ServeHTTP(w, r)
 	})
 }
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -14,12 +14,7 @@
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		ctx := context.WithValue(r.Context(), credentialKey{}, token)
 		if _, err := f.operator(ctx); err != nil {
-			p := format(ctx, err)
-			w.Header().Set("Content-Type", "application/json")
-			w.WriteHeader(p.StatusCode())
-			if err := encoder(ctx, w).Encode(p); err != nil {
-				f.encodingFailed(ctx, w, err)
-			}
+			f.refuse(w, r, err)
 			return
 		}
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -98,8 +98,8 @@
 	return int64((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-// body is the encoding of a problem.
-type body struct {
+// answer is the encoding of a problem.
+type answer struct {
 	Status       string `json:"status"`
 	Kind         string `json:"kind"`
 	Message      string `json:"message"`
@@ -108,7 +108,7 @@
 }
 
 // StatusCode returns the HTTP status.
-func (b *body) StatusCode() int { return statusCodes[b.Status] }
+func (a *answer) StatusCode() int { return statusCodes[a.Status] }
 
 // format encodes errors of the services and of the generated decoders alike.
 func format(_ context.Context, err error) goahttp.Statuser { //nolint:misspell // the name is goa's
@@ -121,7 +121,7 @@
 	default:
 		p = asProblem(err)
 	}
-	return &body{Status: p.Status, Kind: p.Kind, Message: p.Message, NotRun: p.NotRun, RetryAfterMs: p.RetryAfterMs}
+	return &answer{Status: p.Status, Kind: p.Kind, Message: p.Message, NotRun: p.NotRun, RetryAfterMs: p.RetryAfterMs}
 }
 
 // decoder reads one JSON value. Unknown members are refused: a misspelled limit
--- a/internal/intentparser/intentparser.go
+++ b/internal/intentparser/intentparser.go
@@ -54,9 +54,25 @@
 	*l = append(*l, &Error{Line: line, Message: fmt.Sprintf(format, args...)})
 }
 
+const (
+	// maxText bounds a text. The plan's row holds the text, its steps and the base
+	// configuration, and a row has at most 400 KB.
+	maxText = 128 << 10
+	// maxErrors bounds a list, whose errors may be longer than their lines.
+	maxErrors = 50
+)
+
 // Parse reads intents. Its error is a List.
 func Parse(text string) (intent.Batch, error) {
 	var errs List
+	if len(text) > maxText {
+		errs.add(1, "the text has %d bytes; split it into intents of at most %d", len(text), maxText)
+		return intent.Batch{}, errs
+	}
+	if line := tooDeep(text); line > 0 {
+		errs.add(line, "a value or key is nested too deeply; remove it")
+		return intent.Batch{}, errs
+	}
 	var document map[string]toml.Primitive
 	meta, err := toml.Decode(text, &document)
 	if err != nil {
@@ -77,6 +93,9 @@
 	}
 	var batch intent.Batch
 	for i, table := range tables {
+		if len(errs) >= maxErrors {
+			break
+		}
 		if wanted := parseTable(meta, table, positions.table(i), &errs); wanted != nil {
 			batch.Intents = append(batch.Intents, wanted)
 		}
--- a/internal/intentparser/intentparser_test.go
+++ b/internal/intentparser/intentparser_test.go
@@ -1,17 +1,21 @@
 package intentparser_test
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 	"golang.org/x/tools/txtar"
 
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/intentparser"
+	"github.com/sassafrasspur/sassafrasspur/internal/planner"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -44,3 +48,55 @@
 		}
 	}
 }
+
+// Guards against texts that exhaust the stack or the processor, which would end
+// the process for all callers, and against answers that are longer than the text
+// by orders of magnitude.
+func TestHostileTexts(t *testing.T) {
+	for name, text := range map[string]string{
+		"too long":        strings.Repeat("#", 1<<20),
+		"deep array":      "a = " + strings.Repeat("[", 60_000),
+		"deep in strings": "a = " + strings.Repeat(`["]",`, 20_000),
+		"deep table":      "a = " + strings.Repeat("{a=", 30_000),
+		"long key":        strings.Repeat("a.", 60_000) + "a = 1",
+		"long header":     "[" + strings.Repeat("a.", 60_000) + "a]",
+		"many errors":     strings.Repeat("[[intent]]\n", 10_000),
+	} {
+		g := NewWithT(t)
+		_, err := intentparser.Parse(text)
+		g.Expect(failure.From(err).Kind).To(Equal(failure.InvalidRequest), name)
+		g.Expect(len(err.Error())).To(BeNumerically("<", 64<<10), name)
+	}
+}
+
+// Guards against panics, errors without a line or a remedy, and intents that the
+// planner can't take.
+func FuzzParse(f *testing.F) {
+	archive, err := txtar.ParseFile("testdata/intents.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, file := range archive.Files {
+		f.Add(string(file.Data))
+	}
+	f.Add("[[intent]]\nkind = \"load_model\"\nupstream = \"\"\nmodel = '''\n'''")
+	f.Fuzz(func(t *testing.T, text string) {
+		batch, err := intentparser.Parse(text)
+		var list intentparser.List
+		if err != nil && (!errors.As(err, &list) || len(list) == 0) {
+			t.Fatalf("%T: %v", err, err)
+		}
+		for _, e := range list {
+			if e.Line < 0 || e.Line > strings.Count(text, "\n")+1 || !strings.Contains(e.Message, ";") {
+				t.Fatalf("%+v", e)
+			}
+		}
+		if err != nil {
+			return
+		}
+		_, err = planner.Planner{Team: "desk"}.Plan(&configuration.Configuration{}, batch)
+		if err != nil && !strings.Contains(err.Error(), ";") {
+			t.Fatal(err)
+		}
+	})
+}
--- a/node.go
+++ b/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -86,7 +87,7 @@
 	n.peers = server.New(peerListener,
 		server.WithVM(s.VM), server.WithKey([]byte(s.Peer.Key.Reveal())), server.WithHandler(n.chain.Serve),
 		server.WithGossiper(n.answerGossip), server.WithTimer(n.timers), server.WithLogger(n.log.Zerolog()))
-	n.web = &http.Server{Handler: n.handler(), ReadHeaderTimeout: headerLimit}
+	n.web = &http.Server{Handler: n.handler(), ReadHeaderTimeout: headerLimit, ErrorLog: stdlog.New(n.log.Zerolog(), "", 0)}
 	n.serving.Go(func() {
 		if err := n.web.Serve(n.callers); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Failure(err).Error("serving callers ended")
