--- a/internal/processtest/deployment_test.go
+++ b/internal/processtest/deployment_test.go
@@ -38,6 +38,8 @@
 	renewal   = 500 * time.Millisecond
 	margin    = 500 * time.Millisecond
 	retention = time.Second
+	// batchSpacing is the shortest time between two commits of a VM.
+	batchSpacing = 50 * time.Millisecond
 )
 
 // silence is the time after which a caller sends a request elsewhere. It is
@@ -174,7 +176,7 @@
 lease = "%s"
 renewal = "%s"
 margin = "%s"
-batch_spacing = "50ms"
+batch_spacing = "%s"
 read_interval = "250ms"
 shards = %d
 
@@ -204,9 +206,9 @@
 [[accounts]]
 id = "operator"
 token = "%s"
-team = "%[12]s"
+team = "%[13]s"
 role = "operator"
-`, name, region, caller, tables, objects, lease, renewal, margin, shards, retention, callerToken, team, operatorToken)
+`, name, region, caller, tables, objects, lease, renewal, margin, batchSpacing, shards, retention, callerToken, team, operatorToken)
 }
 
 func (d *deployment) intent() string {
