--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -51,6 +51,8 @@
 	// postponed counts the handovers of a shard that were put off.
 	postponed map[ident.Shard]int
 	drained   map[ident.Shard]bool
+	// targetVMs are the owners at rest for the live VMs targetsOf.
+	targetsOf, targetVMs []ident.VMID
 	// moving is true while a change of owners is under way.
 	moving  bool
 	leaving bool
@@ -143,6 +145,7 @@
 func (r *Registrar) Describe(s *snapshot.Snapshot) {
 	s.Assignment = r.assignment.Clone()
 	s.Serving = len(r.serving)
+	s.PlatformSeen = r.seenAt
 	for _, vm := range slices.Sorted(maps.Keys(r.nodes)) {
 		o := r.nodes[vm]
 		if r.lapsed(o, 0) {
--- a/internal/sequencer/lifecycle.go
+++ b/internal/sequencer/lifecycle.go
@@ -90,21 +90,37 @@
 	return one(answer(m.Ticket, shown(on, state, activity)))
 }
 
-// resolve settles an unknown outcome on an operator's plan.
+// resolve settles an unknown outcome on an operator's plan. A repeat with the
+// same result succeeds, because a confirmation may be repeated.
 func (s *Sequencer) resolve(m message.ResolveCall) []effect.Effect {
-	on, state, _ := s.find(m.Program, "")
+	on, state, activity := s.find(m.Program, m.Team)
 	if on == nil || on.closing {
 		return one(refuse(m.Ticket, notOwner()))
 	}
 	if state == nil {
 		return one(refuse(m.Ticket, notFound(m.Program)))
 	}
+	if resolved(state, activity, m) {
+		return one(answer(m.Ticket, outcome.Durable{}))
+	}
 	if call, ok := state.Calls[m.Call]; !ok || call.Status != program.Unknown {
 		return one(refuse(m.Ticket, failure.New(failure.InvalidRequest,
 			"the outcome of call %s is not unknown; look at the program before you settle it", m.Call)))
 	}
-	resolved := record.Resolved{Program: m.Program, Call: m.Call, Ran: m.Ran, Answer: m.Answer, By: m.By}
-	return one(s.record(on, resolution{record: resolved, ticket: m.Ticket}, resolved))
+	written := record.Resolved{Program: m.Program, Call: m.Call, Ran: m.Ran, Answer: m.Answer, By: m.By}
+	return one(s.record(on, resolution{record: written, ticket: m.Ticket}, written))
+}
+
+// resolved reports whether a call stands as an operator wants to settle it.
+func resolved(state *program.State, activity *active, m message.ResolveCall) bool {
+	call, ok := state.Calls[m.Call]
+	if !m.Ran {
+		running := activity.running != nil && activity.running.arrived.Request.Call == m.Call
+		return !ok && !running
+	}
+	return ok && call.Status == program.Done && slices.ContainsFunc(state.Turns, func(t program.Turn) bool {
+		return t.Call == m.Call && t.Answer.Body == m.Answer.Body && !t.Answer.Failed
+	})
 }
 
 // lookedUp settles an unknown outcome by the upstream's own result. A result
@@ -165,13 +181,23 @@
 		if on.closing {
 			continue
 		}
-		for _, id := range slices.Sorted(maps.Keys(on.programs)) {
-			state := on.programs[id]
-			expired := !state.Budget.Expires.IsZero() && now.After(state.Budget.Expires)
-			if id.IsRoot() && expired && !state.Ended && !on.activity(id).ending {
-				effects = append(effects, s.end(on, state, 0, "budget exhausted: time")...)
-			}
+		for _, id := range expired(on, now) {
+			effects = append(effects, s.end(on, on.programs[id], 0, "budget exhausted: time")...)
 		}
 	}
 	return effects
 }
+
+// expired returns the root programs of a shard whose time is over and whose end
+// is not recorded yet. Only these are sorted: the shard is searched each second.
+func expired(on *shard, now time.Time) []ident.ProgramID {
+	var ids []ident.ProgramID
+	for id, state := range on.programs {
+		over := !state.Budget.Expires.IsZero() && now.After(state.Budget.Expires)
+		if over && !state.Ended && id.IsRoot() && !on.activity(id).ending {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
