--- a/internal/processtest/deployment_test.go
+++ b/internal/processtest/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -40,6 +41,8 @@
 	retention = time.Second
 	// batchSpacing is the shortest time between two commits of a VM.
 	batchSpacing = 50 * time.Millisecond
+	firstByte    = time.Second
+	betweenBytes = time.Second
 )
 
 // silence is the time after which a caller sends a request elsewhere. It is
@@ -72,10 +75,12 @@
 	vms      int
 	services []string
 	engines  []string
+	// lease replaces the usual one if it is not 0.
+	lease time.Duration
 	// reach replaces the addresses of engines in the configuration.
 	reach func(address string) string
 	// platformOf replaces the address of the platform in the settings of a VM.
-	platformOf func(vm int, address string) string
+	platformOf func(vm int, tables, objects string) (string, string)
 }
 
 // deploy starts everything, confirms a configuration and waits until every VM
@@ -132,12 +137,12 @@
 	GinkgoHelper()
 	tables, objects := d.platform.addresses("table")[0], d.platform.addresses("objects")[0]
 	if s.platformOf != nil {
-		tables, objects = s.platformOf(i, tables), s.platformOf(i, objects)
+		tables, objects = s.platformOf(i, tables, objects)
 	}
 	regions := []string{"semenanjung", "sabah", "sarawak"}
 	v := &vm{name: fmt.Sprintf("vm-%02d", i+1)}
 	v.settings = filepath.Join(binaries, fmt.Sprintf("%s-%d.toml", v.name, d.platform.command.Process.Pid))
-	Expect(os.WriteFile(v.settings, []byte(settingsOf(v.name, regions[i%3], "127.0.0.1:0", tables, objects)), 0o600)).To(Succeed())
+	Expect(os.WriteFile(v.settings, []byte(settingsOf(v.name, regions[i%3], tables, objects, cmp.Or(s.lease, lease))), 0o600)).To(Succeed())
 	v.run()
 	return v
 }
@@ -156,18 +161,18 @@
 	v.address = v.addresses("caller_address")[0]
 }
 
-func settingsOf(name, region, caller, tables, objects string) string {
+func settingsOf(name, region, tables, objects string, lease time.Duration) string {
 	return fmt.Sprintf(`vm = %q
 region = %q
 domain = "%[2]s-a"
-caller_address = %q
+caller_address = "127.0.0.1:0"
 peer_address = "127.0.0.1:0"
-log_level = "info"
+log_level = "warn"
 
 [platform]
 table_url = "http://%s"
 object_url = "http://%s"
-list_url = "http://%[5]s"
+list_url = "http://%[4]s"
 timeout = "500ms"
 access_key = "test"
 secret_key = "test"
@@ -191,8 +196,8 @@
 
 [limits]
 call_time = "10s"
-first_byte = "2s"
-between_bytes = "1s"
+first_byte = "%s"
+between_bytes = "%s"
 owner_wait = "1s"
 queue_wait = "2s"
 drain = "10s"
@@ -206,9 +211,9 @@
 [[accounts]]
 id = "operator"
 token = "%s"
-team = "%[13]s"
+team = "%[14]s"
 role = "operator"
-`, name, region, caller, tables, objects, lease, renewal, margin, batchSpacing, shards, retention, callerToken, team, operatorToken)
+`, name, region, tables, objects, lease, renewal, margin, batchSpacing, shards, retention, firstByte, betweenBytes, callerToken, team, operatorToken)
 }
 
 func (d *deployment) intent() string {
@@ -218,7 +223,7 @@
 	b.WriteString("[[intent]]\nkind = \"create_pool\"\nid = \"assistant\"\npool_kind = \"engine\"\n\n")
 	b.WriteString("[[intent]]\nkind = \"create_pool\"\nid = \"counter\"\npool_kind = \"service\"\nidempotent = [\"look_up\"]\nlook_up = true\n\n")
 	upstream := func(id, pool, address string) {
-		fmt.Fprintf(&b, "[[intent]]\nkind = \"create_upstream\"\nid = %q\npool = %q\nteam = %q\naddress = %q\nregion = \"sabah\"\ndomain = \"sabah-a\"\nslots = 8\n\n",
+		fmt.Fprintf(&b, "[[intent]]\nkind = \"create_upstream\"\nid = %q\npool = %q\nteam = %q\naddress = %q\nregion = \"sabah\"\ndomain = \"sabah-a\"\nslots = 200\n\n",
 			id, pool, team, address)
 	}
 	for i, address := range d.serviceAddresses {
--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -30,7 +30,7 @@
 // unknownPatience is how long a caller asks again for an unknown outcome before
 // it goes on with another program. Only an operator may settle what the
 // service can't tell.
-const unknownPatience = 6 * time.Second
+const unknownPatience = 3 * time.Second
 
 // load is a set of callers, each with a program whose calls run one after the
 // other.
