nodetest: fuzz the release of engine memory

Engines that ignore fencing numbers now hold the memory of calls in the world of the fuzz test. Engines go down, releases are lost or late, calls arrive after their owner crashed, and cache reads have gaps; a minute after all faults ended no ended program may be resident anywhere. Ruled out: checks of the releaser's own list, which the users do not see.

--- a/internal/nodetest/engines_test.go
+++ b/internal/nodetest/engines_test.go
@@ -22,6 +22,8 @@
 	// lost is the number of next releases whose answer is lost after they took
 	// effect; late is the number of those that take effect later.
 	lost, late int
+	// slow is the number of next calls that reach their engine later.
+	slow int
 	// transit holds what is on the way to an engine.
 	transit []func()
 	// gaps is the number of next cache reads that are incomplete.
@@ -37,8 +39,24 @@
 	}
 }
 
+// hold is the arrival of a call at an engine.
 func (g *engines) hold(upstream ident.UpstreamID, id ident.ProgramID) {
-	g.residents[upstream][id] = 1
+	take := func() { g.residents[upstream][id] = 1 }
+	if g.slow > 0 {
+		g.slow--
+		g.transit = append(g.transit, take)
+		return
+	}
+	take()
+}
+
+// arrive lets what is on the way reach its engine.
+func (g *engines) arrive() {
+	transit := g.transit
+	g.transit = nil
+	for _, run := range transit {
+		run()
+	}
 }
 
 func (g *engines) release(e effect.Release) message.ReleaseDone {
--- a/internal/nodetest/properties_test.go
+++ b/internal/nodetest/properties_test.go
@@ -35,6 +35,16 @@
 	os.Exit(m.Run())
 }
 
+// check runs a property; SPUR_RAPID_CHECKS replaces the number of runs.
+func check(runs string, property func(*rapid.T)) {
+	if os.Getenv("SPUR_RAPID_CHECKS") == "" {
+		if err := flag.Set("rapid.checks", runs); err != nil {
+			panic(err)
+		}
+	}
+	rapid.Check(ginkgo.GinkgoT(), property)
+}
+
 func TestNode(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "node")
@@ -44,7 +54,7 @@
 // lease, take over from one another, and when the platform is out, loses
 // answers or applies writes late.
 var _ = ginkgo.It("keeps order, history, budget, at-most-once and true refusals under faults", func() {
-	rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+	check("300", func(t *rapid.T) {
 		o := newOracle(t.Fatal)
 		w := newWorld(o)
 		t.Repeat(w.actions())
@@ -80,6 +90,7 @@
 		case ready:
 			w.check(k)
 		case checked:
+			w.place(t, k)
 			w.dispatch(k)
 		case sent:
 			w.receive(k, rapid.IntRange(0, 4).Draw(t, "breaks") == 0)
--- a/internal/nodetest/worker_test.go
+++ b/internal/nodetest/worker_test.go
@@ -97,6 +97,9 @@
 	w.oracle.notef("%s: the upstream answers %s (breaks: %v)", k.node.vm, k.call.id, breaks)
 	switch {
 	case !breaks:
+		if k.call.engine {
+			w.engines.hold(k.upstream, k.client.program)
+		}
 		k.stage = waitsForRecord
 		k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
 			return message.CallCompleted{
--- a/internal/nodetest/world_test.go
+++ b/internal/nodetest/world_test.go
@@ -221,7 +221,7 @@
 	}
 	if c.current == nil {
 		w.calls++
-		c.current = &call{id: ident.CallID(fmt.Sprintf("c%d", w.calls)), position: c.next, once: once}
+		c.current = &call{id: ident.CallID(fmt.Sprintf("c%d", w.calls)), position: c.next, once: once, engine: !once && w.engines != nil}
 		w.oracle.once[c.current.id] = once
 	}
 	first := !c.current.sent
