news: take no freshness from news that wait in a socket

Cause: a peer's request was dated with the time at which it was taken from the socket. A request that waited there, as with a frozen process or a slow network, made an old version look current, so that a node took new work under it. Ruled out: answers to the node's own requests, which are dated from before the request was sent. The conversions move to one place, so that the fuzz test uses the same code as the daemon.

--- a/control.go
+++ b/control.go
@@ -12,7 +12,6 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/configurer"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/journaler"
-	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/news"
 	"github.com/sassafrasspur/sassafrasspur/internal/performer"
 	"github.com/sassafrasspur/sassafrasspur/internal/placer"
@@ -70,31 +69,14 @@
 
 // news returns what the node tells its peers.
 func (n *Node) news() news.News {
-	view := n.control.Snapshot()
-	own := news.News{VM: n.settings.VM, Leaving: view.Leaving}
-	if view.Configuration != nil {
-		own.Version = view.Configuration.Version
-		own.Age = n.timers.Now().Sub(view.ConfigurationAsOf)
-	}
-	return own
+	return news.From(n.settings.VM, n.control.Snapshot(), n.timers.Now())
 }
 
-// answerGossip takes the news of a peer in and answers with the node's own. A
-// peer with an older configuration gets the whole one.
+// answerGossip takes the news of a peer in and answers with the node's own.
 func (n *Node) answerGossip(_ context.Context, heard news.News) news.News {
-	n.control.Post(message.PeerHeard{
-		VM:            heard.VM,
-		Version:       heard.Version,
-		Age:           heard.Age,
-		Configuration: heard.Configuration,
-		Leaving:       heard.Leaving,
-		At:            n.timers.Now(),
-	})
-	own := n.news()
-	if own.Version > heard.Version {
-		own.Configuration = n.control.Snapshot().Configuration
-	}
-	return own
+	n.control.Post(heard.Received(n.timers.Now()))
+	view := n.control.Snapshot()
+	return news.Answer(heard, news.From(n.settings.VM, view, n.timers.Now()), view)
 }
 
 // drained reports whether the node owns nothing any more, or no live node is
--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -169,14 +169,7 @@
 	if err != nil {
 		return nil
 	}
-	return message.PeerHeard{
-		VM:            heard.VM,
-		Version:       heard.Version,
-		Age:           heard.Age,
-		Configuration: heard.Configuration,
-		Leaving:       heard.Leaving,
-		At:            asked,
-	}
+	return heard.Heard(asked)
 }
 
 func (p *Performer) list(ctx context.Context) message.UpstreamsListed {
