configurer: take no new work after a start before an own read succeeded

Cause: a restarted node took over the configuration of a peer and served under it without a read of its own, although docs/design.md demands one. The peer's copy may be older than the one that was in force on the VM before its restart. Ruled out: the order of versions within one process, which only goes up.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -3,7 +3,8 @@
 // The copy only ever moves to a higher version. It is fresh as long as the
 // node, or a peer that holds the same version, has recently read the platform
 // and found this version; a node whose copy is not fresh can't know that it is
-// current and takes no new work.
+// current and takes no new work. Nor does a node that has not read the platform
+// itself since its start.
 package configurer
 
 import (
@@ -28,12 +29,15 @@
 	// been the newest.
 	asOf time.Time
 	// heard is the highest version that a peer reported.
-	heard   ident.Version
-	reading bool
-	nextAt  time.Time
-	self    ident.VMID
-	peers   []cluster.Node
-	turn    int
+	heard ident.Version
+	// confirmed is true from the first own read that succeeded. Before, a peer's
+	// copy may be older than the one that this VM had before a restart.
+	confirmed bool
+	reading   bool
+	nextAt    time.Time
+	self      ident.VMID
+	peers     []cluster.Node
+	turn      int
 }
 
 // Option changes how New builds a Configurer.
@@ -78,7 +82,7 @@
 func (c *Configurer) Describe(s *snapshot.Snapshot) {
 	s.Configuration = c.current
 	s.ConfigurationAsOf = c.asOf
-	if c.current != nil && c.heard <= c.current.Version {
+	if c.confirmed && c.heard <= c.current.Version {
 		s.ConfigurationUntil = c.asOf.Add(c.limit)
 	}
 }
@@ -127,7 +131,8 @@
 	if m.Err != nil || m.Configuration == nil {
 		return nil
 	}
-	return c.apply(m.Configuration, m.StartedAt)
+	c.confirmed = true
+	return append(c.apply(m.Configuration, m.StartedAt), effect.Publish{})
 }
 
 func (c *Configurer) hear(m message.PeerHeard) []effect.Effect {
