--- a/internal/nodetest/oracle_test.go
+++ b/internal/nodetest/oracle_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -106,3 +108,6 @@
 		}
 	}
 }
+
+// callIDs returns the calls that arrived, in a fixed order.
+func (o *oracle) callIDs() []ident.CallID { return slices.Sorted(maps.Keys(o.arrivals)) }
--- a/internal/nodetest/world_test.go
+++ b/internal/nodetest/world_test.go
@@ -85,7 +85,11 @@
 	workers   []*worker
 	oracle    *oracle
 	calls     int
-	budgets   map[ident.ProgramID]unit.Calls
+	// budget is that of programs that are opened, budgets that of each root.
+	budget  unit.Calls
+	budgets map[ident.ProgramID]unit.Calls
+	// onRefusal sees what callers are refused; it may be nil.
+	onRefusal func(call, *failure.Error)
 	// asks are requests other than calls that wait for an answer.
 	asks []pendingAsk
 	// extend adds controllers to a new node; nil adds none.
@@ -103,7 +107,7 @@
 func newEmptyWorld(oracle *oracle) *world {
 	start := time.Unix(1e9, 0)
 	w := &world{
-		clock: timer.NewManual(start), platform: newPlatform(), oracle: oracle, budgets: map[ident.ProgramID]unit.Calls{},
+		clock: timer.NewManual(start), platform: newPlatform(), oracle: oracle, budget: budgetCalls, budgets: map[ident.ProgramID]unit.Calls{},
 	}
 	oracle.elapsed = func() time.Duration { return w.clock.Now().Sub(start) }
 	return w
@@ -138,9 +142,9 @@
 }
 
 func (w *world) open(root ident.ProgramID) {
-	w.budgets[root] = budgetCalls
+	w.budgets[root] = w.budget
 	w.request(func(t ident.Ticket) message.Message {
-		return message.OpenProgram{Ticket: t, Program: root, Team: "team", Budget: record.Budget{Calls: budgetCalls, Tokens: budgetTokens}}
+		return message.OpenProgram{Ticket: t, Program: root, Team: "team", Budget: record.Budget{Calls: w.budget, Tokens: budgetTokens}}
 	})
 	w.request(func(t ident.Ticket) message.Message {
 		return message.OpenChild{Ticket: t, Parent: root, Child: root.Child(1), Team: "team"}
@@ -307,6 +311,9 @@
 
 func (w *world) refused(c *client, k call, err *failure.Error) {
 	w.oracle.notef("the caller of %s is told %s", k.id, describe(outcome.Refused{Err: err}))
+	if w.onRefusal != nil {
+		w.onRefusal(k, err)
+	}
 	if err.NotRun {
 		w.oracle.refusedNotRun(k.id)
 		if c.current != nil && c.current.id == k.id {
