driver, reporter: first submissions, and a recovery that lasts

Servers promise that a call did not run only if the caller marks it as the first submission; without it 41 overload refusals came with not_run false and refused was 0. The recovery now counts the goodput until the end of the arrivals: in a trial one window of 3 s gave 5.5 s although the mean goodput stayed below half.

--- a/cmd/sassafrasspur-load/options.go
+++ b/cmd/sassafrasspur-load/options.go
@@ -46,6 +46,8 @@
 	Overload time.Duration     `long:"overload" description:"duration of an overload of twice the capacity after the first duration; another two durations follow it"`
 	Limit    time.Duration     `long:"limit" default:"10s" description:"latency within which a program counts for goodput"`
 
+	Verbose bool `long:"verbose" description:"log each request that is repeated"`
+
 	EngineReplicas  int     `long:"engine-replicas" default:"10" description:"engines"`
 	Slots           int     `long:"slots" default:"16" description:"largest batch of an engine"`
 	Prefill         int64   `long:"prefill" default:"8000" description:"prefill tokens a second of a request"`
@@ -63,6 +65,9 @@
 	if !ok {
 		return errors.Errorf("there is no workload %q", o.Workload)
 	}
+	if !o.Verbose {
+		log = log.Level(zerolog.InfoLevel)
+	}
 	capacity := o.capacity(kind)
 	normal := workload.PerSecond(o.Rate)
 	if normal <= 0 {
--- a/internal/load/driver/driver.go
+++ b/internal/load/driver/driver.go
@@ -33,8 +33,9 @@
 	Latency time.Duration
 	// Err is nil if all calls were answered.
 	Err *failure.Error
-	// Refused counts the refusals that said "not run"; Retries counts the
-	// requests that were sent again after any failure.
+	// Refused counts the refusals: "not run", or overloaded, which comes without
+	// that promise for a call that was sent before. Retries counts the requests
+	// that were sent again after any failure.
 	Refused int
 	Retries int
 	// Cacheable counts the prompt tokens that an earlier turn had computed;
@@ -57,7 +58,7 @@
 // WithTimers sets the timer service.
 func WithTimers(t *timer.Service) Option { return func(d *Driver) { d.timers = t } }
 
-// WithLog sets the log of failed programs.
+// WithLog sets the log of failed programs and, at the debug level, of repeats.
 func WithLog(log zerolog.Logger) Option { return func(d *Driver) { d.log = log } }
 
 // WithTries sets how often a request is sent in all before its program fails.
--- a/internal/load/driver/driver_test.go
+++ b/internal/load/driver/driver_test.go
@@ -57,7 +57,7 @@
 	case request.End:
 		s.seen = append(s.seen, fmt.Sprintf("end %s", r.Program))
 	case request.Call:
-		s.seen = append(s.seen, fmt.Sprintf("call %s %s %d %s %s", r.Program, r.Call, r.Position, r.Pool, r.Operation))
+		s.seen = append(s.seen, fmt.Sprintf("call %s %s %d %s %s first=%t", r.Program, r.Call, r.Position, r.Pool, r.Operation, r.First))
 		if r.Operation != "" {
 			return s.operate(r, x.Sink)
 		}
@@ -93,7 +93,7 @@
 }
 
 var _ = Describe("a run", func() {
-	// Guards against calls out of order, refusals that fail a program, programs
+	// Guards against calls out of order, repeats that are marked as first, refusals that fail a program, programs
 	// that are not ended, and recomputed tokens that are counted for the first
 	// turn or across agents.
 	It("sends and counts what the golden file says", func() {
--- a/internal/load/driver/run.go
+++ b/internal/load/driver/run.go
@@ -118,8 +118,12 @@
 	a.position++
 	p.Program, p.Position = string(a.id), a.position
 	p.CallID = "call-" + strconv.Itoa(a.position)
+	// A server promises "not run" only for a call id that was not sent before.
+	p.FirstSubmission = true
 	return r.retry(ctx, func() error {
-		return r.caller.Call(ctx, p, func(e *programs.Event) error {
+		sent := p
+		p.FirstSubmission = false
+		return r.caller.Call(ctx, sent, func(e *programs.Event) error {
 			if e.Event == client.End && e.Usage != nil {
 				account(a, e.Usage)
 			}
@@ -144,7 +148,7 @@
 			return nil
 		}
 		known := failure.From(err)
-		if known.NotRun {
+		if known.NotRun || known.Kind == failure.Overloaded {
 			r.outcome.Refused++
 		}
 		if known.RetryAfter <= 0 || try == r.driver.tries {
@@ -154,5 +158,7 @@
 			return known
 		}
 		r.outcome.Retries++
+		r.driver.log.Debug().Str("program", string(r.outcome.Program)).Str("kind", string(known.Kind)).
+			Bool("not_run", known.NotRun).Dur("waited", known.RetryAfter).Msg(known.Message)
 	}
 }
--- a/internal/load/reporter/goodput.go
+++ b/internal/load/reporter/goodput.go
@@ -42,17 +42,19 @@
 	return best
 }
 
-// recovery returns the time from the end of the overload to the start of the
-// first window with nearly the goodput from before, in milliseconds; nil if
-// there is none or the goodput from before is 0. The first window before the overload is left out of the
-// comparison, because the programs that end there arrived at an idle system.
+// recovery returns the time from the end of the overload to the first moment from
+// which the goodput until the end of the arrivals is nearly that from before, in
+// milliseconds; nil if there is none or the goodput from before is 0. A single
+// window says little: programs of the overload that end together can fill it
+// while later ones still exceed the limit. The first window before the overload
+// is left out, because the system fills in it.
 func (g completions) recovery(o Overload) *int64 {
 	before := g.between(min(o.Window, o.From/2), o.From)
 	if before == 0 {
 		return nil
 	}
 	for at := o.To; at+o.Window <= o.End; at += windowStep {
-		if g.between(at, at+o.Window) >= recoveredPart*before {
+		if g.between(at, o.End) >= recoveredPart*before {
 			after := (at - o.To).Milliseconds()
 			return &after
 		}
