sequencer: remove programs an hour after their end

Programs that have ended were kept in memory and in each checkpoint for ever. A tree is now removed at the periodic checkpoint when all of it has ended, no engine holds its memory, no call or record is open, and this has been so for an hour. A repeated call of a removed program is not found, without a promise that it has not run.

--- a/internal/sequencer/lifecycle.go
+++ b/internal/sequencer/lifecycle.go
@@ -135,7 +135,8 @@
 }
 
 // compareCache releases ended programs that an engine still holds, also if no
-// record says that they were sent there.
+// record says that they were sent there. A program of an own shard that is not
+// known has ended and was removed: none has calls before it is durable.
 func (s *Sequencer) compareCache(m message.CacheRead) []effect.Effect {
 	if m.Err != nil || !m.Complete {
 		return nil
@@ -143,7 +144,7 @@
 	var effects []effect.Effect
 	for _, id := range slices.Sorted(maps.Keys(m.Residents)) {
 		on, state, activity := s.find(id, "")
-		if state == nil || !state.Ended || activity.running != nil {
+		if on == nil || state != nil && (!state.Ended || activity.running != nil) {
 			continue
 		}
 		effects = append(effects, effect.Send{Message: message.ReleaseWanted{
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -27,6 +27,7 @@
 	// checkpointInterval bounds the age of the checkpoint of a shard.
 	checkpointInterval time.Duration
 	checkpointAt       time.Time
+	retention          time.Duration
 	reserver           reserver.Reserver
 
 	leaseUntil time.Time
@@ -45,6 +46,8 @@
 	row      cluster.ShardRow
 	programs program.Set
 	active   map[ident.ProgramID]*active
+	// restingSince is when a root program was first seen to need nothing more.
+	restingSince map[ident.ProgramID]time.Time
 	// pending counts the appends that are not durable yet.
 	pending int
 	// sinceCheckpoint counts the records since the last checkpoint.
@@ -116,6 +119,7 @@
 		checkpointEvery:    512,
 		expiryInterval:     time.Second,
 		checkpointInterval: 30 * time.Second,
+		retention:          defaultRetention,
 		reserver:           reserver.Reserver{Ahead: 2},
 		shards:             map[ident.Shard]*shard{},
 		waits:              map[message.Token]wait{},
--- a/internal/sequencer/shard.go
+++ b/internal/sequencer/shard.go
@@ -19,7 +19,10 @@
 func (s *Sequencer) openShard(m message.ShardOpened) []effect.Effect {
 	handedOver := len(m.Row.Spans) == 0
 	m.Programs.Recover(handedOver)
-	on := &shard{id: m.Shard, epoch: m.Epoch, row: m.Row, programs: m.Programs, active: map[ident.ProgramID]*active{}}
+	on := &shard{
+		id: m.Shard, epoch: m.Epoch, row: m.Row, programs: m.Programs,
+		active: map[ident.ProgramID]*active{}, restingSince: map[ident.ProgramID]time.Time{},
+	}
 	s.shards[m.Shard] = on
 	effects := one(s.checkpoint(on))
 	for _, id := range slices.Sorted(maps.Keys(on.programs)) {
@@ -123,6 +126,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.shards)) {
 		on := s.shards[id]
 		if !on.checkpointing && !on.closing {
+			s.remove(now, on)
 			effects = append(effects, s.checkpoint(on))
 		}
 	}
