--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 	goahttp "goa.design/goa/v3/http"
@@ -36,10 +37,11 @@
 
 // Plans stores plans and confirms them. Errors have a kind of package failure.
 type Plans interface {
-	Create(ctx context.Context, intent string) (planner.Plan, error)
-	// Show returns a plan and whether it is confirmed.
-	Show(ctx context.Context, id ident.PlanID) (planner.Plan, bool, error)
-	Confirm(ctx context.Context, id ident.PlanID) (planner.Plan, error)
+	// Create stores the plan of an intent of a team's operator.
+	Create(ctx context.Context, team ident.TeamID, intent string) (planner.Plan, error)
+	// Show returns a plan of a team and whether it is confirmed.
+	Show(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, bool, error)
+	Confirm(ctx context.Context, team ident.TeamID, id ident.PlanID) (planner.Plan, error)
 }
 
 // Front serves the HTTP interface.
@@ -51,8 +53,8 @@
 	timers    *timer.Service
 	addresser *addresser.Addresser
 	maxBody   unit.Bytes
+	bodyLimit time.Duration
 	free      func() map[ident.VMID]unit.Ratio
-	orders    func(context.Context, planner.Order) error
 	log       zerolog.Logger
 }
 
@@ -64,18 +66,17 @@
 	return func(f *Front) { f.maxBody = n }
 }
 
+// WithBodyLimit sets how long a caller may take to send a body.
+func WithBodyLimit(limit time.Duration) Option {
+	return func(f *Front) { f.bodyLimit = limit }
+}
+
 // WithFreeCapacity sets the source of the free part of each node's capacity.
 // Without it all nodes count as free.
 func WithFreeCapacity(free func() map[ident.VMID]unit.Ratio) Option {
 	return func(f *Front) { f.free = free }
 }
 
-// WithOrders sets what carries out the orders to upstreams of a confirmed plan.
-// Without it, plans with such orders are refused.
-func WithOrders(carryOut func(context.Context, planner.Order) error) Option {
-	return func(f *Front) { f.orders = carryOut }
-}
-
 // WithLog sets the log. Without it nothing is logged.
 func WithLog(log zerolog.Logger) Option {
 	return func(f *Front) { f.log = log }
@@ -100,6 +101,7 @@
 		timers:    timers,
 		addresser: chooser,
 		maxBody:   DefaultMaxBody,
+		bodyLimit: 30 * time.Second,
 		free:      func() map[ident.VMID]unit.Ratio { return nil },
 		log:       zerolog.Nop(),
 	}
@@ -117,13 +119,19 @@
 	programserver.Mount(mux, programserver.New(programs.NewEndpoints(&programService{f}), mux, decode, encode, f.encodingFailed, format))
 	planserver.Mount(mux, planserver.New(plans.NewEndpoints(&planService{f}), mux, decode, encode, f.encodingFailed, format))
 	statusserver.Mount(mux, statusserver.New(status.NewEndpoints(&statusService{f}), mux, decode, encode, f.encodingFailed, format))
+	if router, ok := mux.(interface{ NotFound(http.HandlerFunc) }); ok {
+		router.NotFound(f.unknown)
+	}
+	if router, ok := mux.(interface{ MethodNotAllowed(http.HandlerFunc) }); ok {
+		router.MethodNotAllowed(f.unknown)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Callers that keep connections to a leaving node would not ask for
 		// another address before the node closes them.
 		if s := f.snapshots(); s != nil && s.Draining {
 			w.Header().Set("Connection", "close")
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, int64(f.maxBody))
+		r.Body = f.limit(w, r)
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -154,16 +162,16 @@
 	return x.Account, nil
 }
 
-// operator refuses accounts that are not operators.
-func (f *Front) operator(ctx context.Context) error {
+// operator identifies an operator and refuses other accounts.
+func (f *Front) operator(ctx context.Context) (chain.Account, error) {
 	account, err := f.account(ctx)
 	if err != nil {
-		return err
+		return account, err
 	}
 	if account.Role != chain.Operator {
-		return asProblem(failure.Refusal(failure.Forbidden, 0, "account %s is not an operator; use the credential of an operator account", account.ID))
+		return account, asProblem(failure.Refusal(failure.Forbidden, 0, "account %s is not an operator; use the credential of an operator account", account.ID))
 	}
-	return nil
+	return account, nil
 }
 
 // current returns the snapshot, or a refusal while there is none.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -28,10 +28,28 @@
 	Leaving []ident.UpstreamID
 	// Draining is true from the request to shut down.
 	Draining bool
+	// LeavingAnnounced is true once the node's row on the platform says that it
+	// is leaving.
+	LeavingAnnounced bool
 	// Serving is the number of shards that are loaded here.
 	Serving int
 	// UpstreamLoads has a row for each upstream, for status pages.
 	UpstreamLoads []UpstreamLoad
+	// OpenOrders are the orders of this node's shards that engines have not
+	// confirmed.
+	OpenOrders []configuration.Order
+	// Unknown lists the calls of this node's shards whose outcome is unknown.
+	Unknown []UnknownCall
+	// PlatformSeen is when the last own read of the platform that succeeded was
+	// started.
+	PlatformSeen time.Time
+}
+
+// UnknownCall is a call whose outcome is unknown.
+type UnknownCall struct {
+	Team    ident.TeamID
+	Program ident.ProgramID
+	Call    ident.CallID
 }
 
 // UpstreamLoad is the node's view of one upstream.
@@ -40,8 +58,25 @@
 	InFlight int
 	Limit    int
 	Usable   bool
+	// Reason says why the upstream is not usable; empty if it is.
+	Reason Unusable
 }
 
+// Unusable says why an upstream gets no new work.
+type Unusable string
+
+// Reasons.
+const (
+	// Drained upstreams are taken out of use by a plan.
+	Drained Unusable = "drained"
+	// UpstreamLeaving upstreams are shutting down.
+	UpstreamLeaving Unusable = "leaving"
+	// Unlisted upstreams have no current entry in the platform's list.
+	Unlisted Unusable = "unlisted"
+	// Silent upstreams give no load report.
+	Silent Unusable = "silent"
+)
+
 // Owner returns the node that owns a program.
 func (s *Snapshot) Owner(p ident.ProgramID) (cluster.Node, cluster.Owner, bool) {
 	if len(s.Assignment.Owners) == 0 {
--- a/node.go
+++ b/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/addresser"
+	"github.com/sassafrasspur/sassafrasspur/internal/canceller"
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
 	"github.com/sassafrasspur/sassafrasspur/internal/cluster"
 	"github.com/sassafrasspur/sassafrasspur/internal/confirmer"
@@ -18,6 +20,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/front"
 	"github.com/sassafrasspur/sassafrasspur/internal/logger"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/meter"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/dialer"
 	"github.com/sassafrasspur/sassafrasspur/internal/peer/server"
 	"github.com/sassafrasspur/sassafrasspur/internal/platform/objector"
@@ -35,13 +38,15 @@
 	output   io.Writer
 	timers   *timer.Service
 	log      *logger.Logger
+	meter    *meter.Meter
 
-	table    *tabler.Tabler
-	objects  *objector.Objector
-	dialer   *dialer.Dialer
-	control  *executor.Executor
-	identify *chain.Chain
-	chain    *chain.Chain
+	table     *tabler.Tabler
+	objects   *objector.Objector
+	dialer    *dialer.Dialer
+	control   *executor.Executor
+	canceller *canceller.Canceller
+	identify  *chain.Chain
+	chain     *chain.Chain
 
 	callers     net.Listener
 	peerAddress string
@@ -59,6 +64,7 @@
 	}
 	s := n.settings
 	n.log = logger.New(n.output, s.VM, s.Domain, s.Region, logger.WithLevel(s.LogLevel), logger.WithTimer(n.timers))
+	n.meter = meter.New()
 	peerListener, err := net.Listen("tcp", s.PeerAddress.String())
 	if err != nil {
 		return nil, errors.Annotate(err, "peer_address; choose a free address of this VM")
@@ -81,7 +87,7 @@
 	n.peers = server.New(peerListener,
 		server.WithVM(s.VM), server.WithKey([]byte(s.Peer.Key.Reveal())), server.WithHandler(n.chain.Serve),
 		server.WithGossiper(n.answerGossip), server.WithTimer(n.timers), server.WithLogger(n.log.Zerolog()))
-	n.web = &http.Server{Handler: n.handler(), ReadHeaderTimeout: headerLimit}
+	n.web = &http.Server{Handler: n.handler(), ReadHeaderTimeout: headerLimit, ErrorLog: stdlog.New(n.log.Zerolog(), "", 0)}
 	n.serving.Go(func() {
 		if err := n.web.Serve(n.callers); !errors.Is(err, http.ErrServerClosed) {
 			n.log.Failure(err).Error("serving callers ended")
@@ -94,9 +100,12 @@
 func (n *Node) connect() {
 	p := n.settings.Platform
 	n.table = tabler.New(
-		tabler.WithEndpoint(p.TableURL), tabler.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), tabler.WithTimeout(p.Timeout))
+		tabler.WithEndpoint(p.TableURL), tabler.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), tabler.WithTimeout(p.Timeout),
+		tabler.WithObserver(n.observePlatform))
 	n.objects = objector.New(
-		objector.WithEndpoint(p.ObjectURL), objector.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), objector.WithTimeout(p.Timeout))
+		objector.WithEndpoint(p.ObjectURL), objector.WithCredentials(p.AccessKey.Reveal(), p.SecretKey.Reveal()), objector.WithTimeout(p.Timeout),
+		objector.WithObserver(n.observePlatform))
+	n.canceller = canceller.New()
 	n.dialer = dialer.New(
 		dialer.WithVM(n.settings.VM), dialer.WithKey([]byte(n.settings.Peer.Key.Reveal())),
 		dialer.WithTimer(n.timers), dialer.WithLogger(n.log.Zerolog()))
@@ -110,6 +119,7 @@
 		front.WithMaxBody(s.Limits.BodyBytes), front.WithLog(n.log.Zerolog()))
 	mux := http.NewServeMux()
 	mux.Handle("/", f.Handler())
+	mux.Handle("GET /metrics", f.Guard(n.meter.WritePrometheus))
 	return mux
 }
 
@@ -128,6 +138,7 @@
 	n.log.Info("leaving")
 	n.control.Post(message.ShutdownRequested{})
 	work := context.WithoutCancel(ctx)
+	n.withdraw(work)
 	retention := n.timers.After(n.settings.Addresses.Retention)
 	<-retention.C
 	n.handOver(work)
@@ -140,6 +151,22 @@
 	return nil
 }
 
+// withdraw waits until the other nodes have stopped giving this node's address
+// to callers, so that the retention begins after the last such answer. A read
+// of the rows that began before the row was written, the interval and the next
+// read each take time, for which one limit of the platform each is allowed.
+func (n *Node) withdraw(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, n.settings.Limits.Drain)
+	defer cancel()
+	announced := func() bool { return n.control.Snapshot().LeavingAnnounced }
+	n.await(limited, announced)
+	if !announced() {
+		n.log.Warn("the leaving state could not be written within the drain limit; other nodes may still give this address to callers")
+	}
+	noticed := n.timers.After(n.settings.Cluster.ReadInterval + 2*n.settings.Platform.Timeout)
+	<-noticed.C
+}
+
 // handOver waits until the node's shards have other owners. Without the platform
 // they can't be handed over; they are taken over later.
 func (n *Node) handOver(ctx context.Context) {
