nodetest: sharper oracles for order, ownership, budget and answers

Cause: mutations were not caught: a position check switched off, the lease left out of the check before a dispatch, charges of failed attempts left out. Callers now also send calls at taken positions and far ahead; two nodes must not both pass the check before a dispatch; answers differ between attempts; programs must show each call that reached an upstream; half of the runs have a budget of 3 calls; nodes are also suspended for longer than a lease. Ruled out: stray calls at positions that may become free after a crash. Still not caught are attempts without epoch and reservations that are not held after a handover.

--- a/internal/nodetest/engines_test.go
+++ b/internal/nodetest/engines_test.go
@@ -141,6 +141,6 @@
 	found := w.oracle.arrivals[e.Call] > 0
 	w.oracle.notef("u: is asked for the result of %s (found: %v)", e.Call, found)
 	done := message.LookedUp{Program: e.Program, Call: e.Call, Found: found}
-	done.Answer.Body, done.Answer.Usage.Calls = string(e.Call), 1
+	done.Answer.Body, done.Answer.Usage.Calls = w.oracle.bodies[e.Call], 1
 	return done
 }
--- a/internal/nodetest/oracle_test.go
+++ b/internal/nodetest/oracle_test.go
@@ -22,6 +22,8 @@
 	elapsed func() time.Duration
 	// arrivals counts the dispatches of each call at its upstream.
 	arrivals map[ident.CallID]int
+	// bodies has the last answer of the upstream to each call.
+	bodies map[ident.CallID]string
 	// once holds the calls that must not be repeated.
 	once map[ident.CallID]bool
 	// notRun holds the calls that a caller was told have not run.
@@ -39,6 +41,7 @@
 		fail:     fail,
 		elapsed:  func() time.Duration { return 0 },
 		arrivals: map[ident.CallID]int{},
+		bodies:   map[ident.CallID]string{},
 		once:     map[ident.CallID]bool{},
 		notRun:   map[ident.CallID]bool{},
 		at:       map[string]ident.CallID{},
@@ -111,3 +114,11 @@
 
 // callIDs returns the calls that arrived, in a fixed order.
 func (o *oracle) callIDs() []ident.CallID { return slices.Sorted(maps.Keys(o.arrivals)) }
+
+// compareBudget checks that a program tree counts each call that reached an
+// upstream, unless its outcome is still unknown.
+func (o *oracle) compareBudget(root ident.ProgramID, shown, unknown unit.Calls) {
+	if shown+unknown < o.spent[root] {
+		o.failf("property 3: %s shows %d calls spent and %d unknown after %d arrivals", root, shown, unknown, o.spent[root])
+	}
+}
--- a/internal/nodetest/properties_test.go
+++ b/internal/nodetest/properties_test.go
@@ -16,7 +16,9 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/program"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict. Longer runs
@@ -56,7 +58,9 @@
 var _ = ginkgo.It("keeps order, history, budget, at-most-once and true refusals under faults", func() {
 	check("300", func(t *rapid.T) {
 		o := newOracle(t.Fatal)
-		w := newWorld(o)
+		w := newEmptyWorld(o)
+		w.budget = rapid.SampledFrom([]unit.Calls{3, budgetCalls}).Draw(t, "budget")
+		w.populate()
 		t.Repeat(w.actions())
 		w.heal()
 		w.checkHistories()
@@ -96,6 +100,19 @@
 			w.receive(k, rapid.IntRange(0, 4).Draw(t, "breaks") == 0)
 		}
 	}
+	// A caller that sends a new call at a position that is taken, or far ahead.
+	stray := func(t *rapid.T) {
+		c := rapid.SampledFrom(w.clients).Draw(t, "client")
+		position := c.next + 3
+		if c.next > 1 && rapid.Bool().Draw(t, "taken") {
+			position = ident.Position(rapid.IntRange(1, int(c.next)-1).Draw(t, "position"))
+		}
+		n := w.owner(c.program, w.nodes[anyNode(t)])
+		if !c.stopped && !n.frozen {
+			w.calls++
+			w.post(c, n, call{id: ident.CallID(fmt.Sprintf("stray%d", w.calls)), position: position}, true)
+		}
+	}
 	run := func(t *rapid.T) {
 		n := w.nodes[anyNode(t)]
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
@@ -110,8 +127,14 @@
 		w.show(rapid.SampledFrom(w.clients).Draw(t, "client").program, w.nodes[anyNode(t)])
 	}
 	faults := map[string]func(*node){
-		"crash":        func(n *node) { w.crash(n) },
-		"freeze":       func(n *node) { n.frozen = true },
+		"crash":  func(n *node) { w.crash(n) },
+		"freeze": func(n *node) { n.frozen = true },
+		"suspend": func(n *node) {
+			n.frozen = true
+			w.advance(lease + 2*margin)
+			n.frozen = false
+			w.advance(margin)
+		},
 		"unfreeze":     func(n *node) { n.frozen = false },
 		"unfreeze all": func(*node) { w.unfreeze() },
 		"outage":       func(*node) { w.platform.outage = true },
@@ -131,7 +154,7 @@
 		"send": send, "send again": send,
 		"work": work, "work on": work, "work more": work, "work still": work,
 		"run": run, "pass": pass, "pass on": pass,
-		"show": show, "fault": fault,
+		"show": show, "fault": fault, "stray": stray,
 	}
 }
 
@@ -192,6 +215,7 @@
 // be able to record something new: a commit that can't succeed would otherwise
 // hide every later loss.
 func (w *world) checkHistories() {
+	unknown, spent := map[ident.ProgramID]unit.Calls{}, map[ident.ProgramID]unit.Calls{}
 	for _, c := range w.clients {
 		probe := neighbour(c.program)
 		if w.request(func(t ident.Ticket) message.Message {
@@ -208,6 +232,16 @@
 			return
 		}
 		w.oracle.compare(shown.View.State)
+		root := c.program.Root()
+		spent[root] = shown.View.Root.Spent.Calls
+		for _, call := range shown.View.Calls {
+			if call.Status != program.Done {
+				unknown[root]++
+			}
+		}
+	}
+	for _, root := range slices.Sorted(maps.Keys(spent)) {
+		w.oracle.compareBudget(root, spent[root], unknown[root])
 	}
 }
 
--- a/internal/nodetest/worker_test.go
+++ b/internal/nodetest/worker_test.go
@@ -1,6 +1,8 @@
 package nodetest
 
 import (
+	"fmt"
+
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
@@ -29,7 +31,7 @@
 			w.refused(k.client, k.call, refused.Err)
 			return
 		}
-		w.completed(k.client, k.call, string(k.call.id))
+		w.completed(k.client, k.call, k.body())
 	case k.stage == waitsForCancel:
 		w.drop(k)
 		if isRefused {
@@ -60,6 +62,7 @@
 // check looks at the lease, which is the last thing before the dispatch.
 func (w *world) check(k *worker) {
 	if k.node.snapshot().Holds(k.client.program, k.run.Epoch, w.clock.Now()) {
+		w.checkOwner(k)
 		k.stage = checked
 		return
 	}
@@ -74,9 +77,22 @@
 	})
 }
 
+// checkOwner looks for another node that may dispatch calls of the program at
+// the same time, so that they would not run in one order.
+func (w *world) checkOwner(k *worker) {
+	for _, n := range w.nodes {
+		view := n.snapshot()
+		_, owner, known := view.Owner(k.client.program)
+		if n != k.node && known && owner.VM == n.vm && view.Holds(k.client.program, owner.Epoch, w.clock.Now()) {
+			w.oracle.failf("property 1: %s and %s may both dispatch calls of %s", k.node.vm, n.vm, k.client.program)
+		}
+	}
+}
+
 // dispatch sends the call to its upstream.
 func (w *world) dispatch(k *worker) {
 	k.stage = sent
+	w.oracle.bodies[k.call.id] = k.body()
 	if k.call.engine {
 		w.engines.hold(k.upstream, k.client.program)
 	}
@@ -84,6 +100,12 @@
 	w.oracle.arrive(k.client.program, k.call.id, k.call.position, w.budgets[k.client.program.Root()])
 }
 
+// body is the upstream's answer. It differs between attempts, so that the oracle
+// sees if an answer of one attempt is recorded for another one.
+func (k *worker) body() string {
+	return fmt.Sprintf("%s/%d.%d", k.call.id, k.run.Epoch, k.run.Attempt)
+}
+
 // tokensOf returns the prompt tokens of an engine call; other calls have none.
 func tokensOf(k *worker) unit.Tokens {
 	if k.call.engine {
@@ -104,7 +126,7 @@
 		k.ticket = k.node.ask(func(t ident.Ticket) message.Message {
 			return message.CallCompleted{
 				Ticket: t, AttemptID: k.attempt(),
-				Answer:   record.Answer{Body: string(k.call.id), Usage: record.Usage{Calls: 1, PromptTokens: tokensOf(k)}},
+				Answer:   record.Answer{Body: k.body(), Usage: record.Usage{Calls: 1, PromptTokens: tokensOf(k)}},
 				Upstream: k.upstream, Resident: k.call.engine,
 			}
 		})
--- a/internal/nodetest/world_test.go
+++ b/internal/nodetest/world_test.go
@@ -113,12 +113,6 @@
 	return w
 }
 
-func newWorld(oracle *oracle) *world {
-	w := newEmptyWorld(oracle)
-	w.populate()
-	return w
-}
-
 // populate starts three nodes and opens two programs with a sub-agent each.
 func (w *world) populate() {
 	for i := range 3 {
