sequencer: refuse records after the checkpoint of a handover

Cause: a confirmed release, a look-up or a late answer was still recorded after the last checkpoint of a shard that is handed over. If its commit ended after the shard was dropped, the control goroutine failed on a nil shard; if it ended before, the next owner did not see the record. Ruled out: the releaser, which releases again at the next owner. Change: such records are refused once the shard is drained, and what waits for commits of a shard that has another owner is given up, with the calls joined to it.

--- a/internal/nodetest/session_test.go
+++ b/internal/nodetest/session_test.go
@@ -207,6 +207,8 @@
 		s.node(words[1]).handle(message.ShutdownRequested{})
 	case "outage":
 		s.platform.outage = words[1] == "on"
+	case "down", "up":
+		s.engines.down[ident.UpstreamID(words[1])] = words[0] == "down"
 	case "lose":
 		s.platform.lost++
 	case "delay":
--- a/internal/sequencer/lifecycle.go
+++ b/internal/sequencer/lifecycle.go
@@ -111,7 +111,7 @@
 // that is not found settles nothing: a frozen process may still send the call.
 func (s *Sequencer) lookedUp(m message.LookedUp) []effect.Effect {
 	on, state, _ := s.find(m.Program, "")
-	if state == nil || m.Err != nil || !m.Found {
+	if state == nil || on.drained || m.Err != nil || !m.Found {
 		return nil
 	}
 	if call, ok := state.Calls[m.Call]; !ok || call.Status != program.Unknown {
@@ -124,7 +124,7 @@
 // released notes that an engine holds no memory of a program any more.
 func (s *Sequencer) released(m message.ReleaseConfirmed) []effect.Effect {
 	on, state, _ := s.find(m.Program, "")
-	if state == nil {
+	if state == nil || on.drained {
 		return nil
 	}
 	if _, ok := state.Residents[m.Upstream]; !ok {
--- a/internal/sequencer/progress.go
+++ b/internal/sequencer/progress.go
@@ -174,7 +174,7 @@
 // late settles an unknown outcome by an answer that came after its attempt was
 // given up. The answer is not delivered to anyone who waits for another call.
 func (s *Sequencer) late(m message.CallCompleted, on *shard, state *program.State) []effect.Effect {
-	if state != nil {
+	if state != nil && !on.drained {
 		call, ok := state.Calls[m.Call]
 		if ok && call.Status == program.Unknown && call.Attempt == m.Attempt && call.Epoch == m.Epoch {
 			resolved := record.Resolved{Program: m.Program, Call: m.Call, Ran: true, Answer: m.Answer, By: "late answer"}
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -54,8 +54,10 @@
 	closing bool
 	// closeUntil is when a handover that is not drained is put off.
 	closeUntil time.Time
-	drained    bool
-	parked     []message.CallArrived
+	// drained is true from the handover's checkpoint on. Records that come later
+	// are refused, since the next owner would not see them.
+	drained bool
+	parked  []message.CallArrived
 }
 
 // active is the volatile state of a program with work under way.
--- a/internal/sequencer/shard.go
+++ b/internal/sequencer/shard.go
@@ -92,6 +92,8 @@
 	return one(s.checkpoint(on))
 }
 
+// dropShard ends the work on a shard that has another owner. What still waits for
+// a commit is given up: the commit may come too late for the new owner.
 func (s *Sequencer) dropShard(id ident.Shard) []effect.Effect {
 	on, ok := s.shards[id]
 	if !ok {
@@ -99,10 +101,14 @@
 	}
 	delete(s.shards, id)
 	var effects []effect.Effect
-	for _, m := range on.parked {
-		effects = append(effects, refuse(m.Ticket, notOwner()))
+	for _, token := range slices.Sorted(maps.Keys(s.waits)) {
+		w := s.waits[token]
+		if subject := w.subject(); subject != "" && subject.Shard(s.count) == id {
+			delete(s.waits, token)
+			effects = append(effects, giveUp(w)...)
+		}
 	}
-	return effects
+	return append(effects, on.giveUp()...)
 }
 
 func (s *Sequencer) checkpointIfDue(on *shard) []effect.Effect {
@@ -172,19 +178,24 @@
 		effects = append(effects, giveUp(s.waits[token])...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.shards)) {
-		on := s.shards[id]
-		for _, m := range on.parked {
-			effects = append(effects, refuse(m.Ticket, notOwner()))
-		}
-		for _, program := range slices.Sorted(maps.Keys(on.active)) {
-			effects = append(effects, on.active[program].giveUp()...)
-		}
+		effects = append(effects, s.shards[id].giveUp()...)
 	}
 	s.waits = map[message.Token]wait{}
 	s.shards = map[ident.Shard]*shard{}
 	return effects
 }
 
+func (s *shard) giveUp() []effect.Effect {
+	var effects []effect.Effect
+	for _, m := range s.parked {
+		effects = append(effects, refuse(m.Ticket, notOwner()))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.active)) {
+		effects = append(effects, s.active[id].giveUp()...)
+	}
+	return effects
+}
+
 func (a *active) giveUp() []effect.Effect {
 	var effects []effect.Effect
 	for _, m := range a.parked {
