sequencer, dispatcher: cancel an intent whose call was withheld

Cause: a filing whose time was over while its intent waited out an outage was never dispatched, but it blocked its program until an operator settled it; the process test of the outage saw it. Ruled out: telling the caller 'not run' at once; the intent may be durable. Change: the owner records a cancel when the intent turns out durable; a repeat of the call id then runs.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -81,6 +81,9 @@
 	// Dispatched is set before the first byte is sent to an upstream. From then
 	// on the call may have run, until it is known that it did not.
 	Dispatched bool
+	// Withheld is true if the call was not dispatched although its intent may be
+	// durable. The caller is told that the outcome is unknown.
+	Withheld bool
 	// Avoid lists upstreams on which an earlier attempt was interrupted.
 	Avoid []ident.UpstreamID
 	// Dispatches counts the dispatches of this attempt.
--- a/internal/filter/dispatcher/dispatcher.go
+++ b/internal/filter/dispatcher/dispatcher.go
@@ -95,7 +95,7 @@
 		return nil
 	}
 	if !failure.From(err).NotRun {
-		x.Dispatched, x.Result = true, chain.Unresolved{}
+		x.Dispatched, x.Withheld, x.Result = true, true, chain.Unresolved{}
 		return unknown(call.Call)
 	}
 	return err
@@ -118,7 +118,7 @@
 		return message.CancelRequested{Ticket: t, AttemptID: x.Attempt()}
 	})
 	if err != nil {
-		x.Dispatched, x.Result = true, chain.Unresolved{}
+		x.Dispatched, x.Withheld, x.Result = true, true, chain.Unresolved{}
 		return unknown(call.Call)
 	}
 	x.Dispatched = false
--- a/internal/filter/orderer/orderer.go
+++ b/internal/filter/orderer/orderer.go
@@ -173,6 +173,7 @@
 		AttemptID: x.Attempt(),
 		Upstream:  x.Granted.Upstream.ID,
 		Usage:     x.Answer.Usage,
+		Withheld:  x.Withheld,
 		Err:       &failed,
 	})
 	return &failed
--- a/internal/message/traffic.go
+++ b/internal/message/traffic.go
@@ -118,7 +118,10 @@
 	Upstream ident.UpstreamID
 	// Usage is what the failed attempt spent at most.
 	Usage record.Usage
-	Err   *failure.Error
+	// Withheld is true if the attempt was not dispatched and never will be,
+	// although its intent may be durable.
+	Withheld bool
+	Err      *failure.Error
 }
 
 // CallRetried reports an attempt without an answer of a call that is to be run
--- a/internal/nodetest/properties_test.go
+++ b/internal/nodetest/properties_test.go
@@ -143,6 +143,7 @@
 		"lose":         func(*node) { w.platform.lost++ },
 		"delay":        func(*node) { w.platform.dropped++ },
 		"arrive":       func(*node) { w.platform.arrive() },
+		"limit":        func(n *node) { w.withhold(n) },
 	}
 	names := slices.Sorted(maps.Keys(faults))
 	fault := func(t *rapid.T) {
--- a/internal/nodetest/session_test.go
+++ b/internal/nodetest/session_test.go
@@ -203,6 +203,8 @@
 		s.forget(old)
 	case "freeze", "unfreeze":
 		s.node(words[1]).frozen = words[0] == "freeze"
+	case "limit":
+		s.withhold(s.node(words[1]))
 	case "leave":
 		s.node(words[1]).handle(message.ShutdownRequested{})
 	case "outage":
--- a/internal/nodetest/worker_test.go
+++ b/internal/nodetest/worker_test.go
@@ -1,6 +1,8 @@
 package nodetest
 
 import (
+	"slices"
+
 	"fmt"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -145,3 +147,20 @@
 	}
 	w.collect()
 }
+
+// withhold ends the workers of a node that wait for an intent or its cancel, as
+// the order filter does when the time of a call is over. Nothing was dispatched,
+// but the caller is told that the outcome is unknown and may repeat the call.
+func (w *world) withhold(n *node) {
+	for _, k := range slices.Clone(w.workers) {
+		if k.node != n || n.frozen || k.stage != waitsForIntent && k.stage != waitsForCancel {
+			continue
+		}
+		w.drop(k)
+		w.oracle.notef("%s: call %s is given up before its dispatch", n.vm, k.call.id)
+		n.handle(message.WaitAbandoned{Ticket: k.ticket})
+		err := failure.New(failure.OutcomeUnknown, "given up")
+		n.handle(message.CallFailed{AttemptID: k.attempt(), Withheld: true, Err: err})
+	}
+	w.collect()
+}
--- a/internal/sequencer/progress.go
+++ b/internal/sequencer/progress.go
@@ -81,6 +81,11 @@
 	if r.arrived.Repeatable {
 		return s.failRepeatable(now, m, on, state, activity)
 	}
+	if m.Withheld && r.durableIntent {
+		r.failed = &m
+		cancelled := record.Cancelled{Program: m.Program, Call: m.Call, Attempt: m.Attempt}
+		return one(s.record(on, acknowledgement{record: cancelled}, cancelled))
+	}
 	if call, ok := state.Calls[m.Call]; ok && call.Status == program.Intended {
 		call.Status = program.Unknown
 		state.Calls[m.Call] = call
--- a/internal/sequencer/waits.go
+++ b/internal/sequencer/waits.go
@@ -153,10 +153,17 @@
 // intended notes that the intent of a running call is durable, or cancelled.
 func (s *Sequencer) intended(now time.Time, on *shard, written record.Record) []effect.Effect {
 	if cancelled, ok := written.(record.Cancelled); ok {
-		if r := on.activity(cancelled.Program).running; r != nil && r.arrived.Request.Call == cancelled.Call {
-			r.intended, r.durableIntent = false, false
+		r := on.activity(cancelled.Program).running
+		if r == nil || r.arrived.Request.Call != cancelled.Call {
+			return nil
 		}
-		return nil
+		r.intended, r.durableIntent = false, false
+		if r.failed == nil {
+			return nil
+		}
+		// The attempt was withheld, so that the program can go on without an
+		// operator; a repeat of the call runs it.
+		return s.withdraw(now, message.CallWithdrawn{AttemptID: r.failed.AttemptID, Err: r.failed.Err})
 	}
 	intent, ok := written.(record.Intended)
 	if !ok {
