--- a/internal/nodetest/session_test.go
+++ b/internal/nodetest/session_test.go
@@ -207,8 +207,6 @@
 		s.node(words[1]).handle(message.ShutdownRequested{})
 	case "outage":
 		s.platform.outage = words[1] == "on"
-	case "down", "up":
-		s.engines.down[ident.UpstreamID(words[1])] = words[0] == "down"
 	case "lose":
 		s.platform.lost++
 	case "delay":
@@ -217,14 +215,10 @@
 		before := s.platform.writes
 		s.platform.arrive()
 		s.oracle.notef("platform: the late write took effect: %v", s.platform.writes > before)
-	case "check":
-		s.check(s.worker(words))
-	case "dispatch":
-		s.dispatch(s.worker(words))
-	case "answer", "break":
-		s.receive(s.worker(words), words[0] == "break")
-	case "work":
-		s.finish(s.worker(words), false)
+	case "check", "dispatch", "answer", "break", "work":
+		s.work(words[0], s.worker(words))
+	case "down", "up":
+		s.engines.down[ident.UpstreamID(words[1])] = words[0] == "down"
 	case "plan", "confirm", "versions":
 		s.operate(words)
 	default:
@@ -232,6 +226,20 @@
 	}
 }
 
+// work takes a call one step further, or through all steps.
+func (s *session) work(step string, k *worker) {
+	switch step {
+	case "check":
+		s.check(k)
+	case "dispatch":
+		s.dispatch(k)
+	case "answer", "break":
+		s.receive(k, step == "break")
+	case "work":
+		s.finish(k, false)
+	}
+}
+
 // request sends a request to a node.
 func (s *session) request(words []string) {
 	id := ident.ProgramID(words[1])
