--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -143,7 +143,7 @@
 // the generated code; the credential is opaque here.
 func (f *Front) JWTAuth(ctx context.Context, token string, _ *security.JWTScheme) (context.Context, error) {
 	if token == "" {
-		return ctx, asProblem(failure.Refusal(failure.Unauthorized, 0, "the request has no credential; send the header Authorization: Bearer TOKEN"))
+		return ctx, asProblem(failure.New(failure.Unauthorized, "the request has no credential; send the header Authorization: Bearer TOKEN"))
 	}
 	return context.WithValue(ctx, credentialKey{}, token), nil
 }
