router: count the delay that a recomputation causes to other calls

Cause: product left the resident engine whenever its queue cost more than the call's own prefill, so that the engines computed half of all cacheable tokens again and were more loaded than with cache affinity.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,10 @@
 	// differences say nothing about the present load.
 	nearRatio = 0.1
 	nearFloor = 5 * time.Millisecond
+	// congestion is the delay that a recomputation causes to other calls,
+	// relative to its own duration. Without it, recomputation raised the load of
+	// the engines so far that all programs were slower than with cache affinity.
+	congestion = 4
 	// bytesPerToken is the usual size of a token of text.
 	bytesPerToken = 4
 )
@@ -202,7 +206,7 @@
 	cost += time.Duration(in.Prompt-cached) * c.Estimate.Prefill
 	cost += time.Duration(in.Output) * c.Estimate.Output
 	recomputed := max(0, min(in.Computed, in.Prompt)-cached)
-	cost += time.Duration(recomputed) * in.Weights.RecomputedToken
+	cost += time.Duration(recomputed) * (in.Weights.RecomputedToken + congestion*c.Estimate.Prefill)
 	if c.Region != in.Region {
 		sent := unit.Bytes(in.Prompt+in.Output) * bytesPerToken
 		cost += r.distance + time.Duration(sent)*in.Weights.TransferredKilobyte/1000
