placer: leave the queue of an engine out of the service time of a call

Cause: the mean duration of calls included their wait in the engine's queue, and the predicted wait multiplied it by the number of calls ahead, so that a queue was counted twice and programs left their resident engine too early. Ruled out: the time to the first byte as the wait, since it holds the prefill. No test of its own yet; the state machine of the placer passes.

--- a/internal/placer/upstream.go
+++ b/internal/placer/upstream.go
@@ -160,13 +160,23 @@
 		latency = max(1, m.Duration/time.Duration(work))
 	}
 	if !m.Failed {
-		u.estimate.Service = mean(u.estimate.Service, m.Duration)
+		u.estimate.Service = mean(u.estimate.Service, u.serviceTime(m))
 	}
 	u.limit = u.limit.Observe(now, u.bounds(), limiter.Observation{
 		Latency: latency, Duration: m.Duration, Failed: m.Failed,
 	})
 }
 
+// serviceTime is the time for which a call held a slot. An engine's answer also
+// waited in its queue, which would be counted twice when a wait is predicted
+// from the number of calls before it.
+func (u *upstream) serviceTime(m message.GrantReturned) time.Duration {
+	if u.kind != configuration.EnginePool {
+		return m.Duration
+	}
+	return m.Duration - m.FirstByte + time.Duration(uncachedOf(m.Usage))*u.estimate.Prefill
+}
+
 // learn updates the estimates of an engine and returns the work of the call in
 // output tokens.
 func (u *upstream) learn(g *grant, m message.GrantReturned) unit.Tokens {
