--- a/control.go
+++ b/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -97,16 +96,15 @@
 
 // await waits until a condition on the snapshot holds or the context ends.
 func (n *Node) await(ctx context.Context, condition func() bool) {
-	for !condition() {
-		wait := n.timers.After(awaitInterval)
+	for {
+		changed := n.control.Changed()
+		if condition() {
+			return
+		}
 		select {
-		case <-wait.C:
+		case <-changed:
 		case <-ctx.Done():
-			wait.Cancel()
 			return
 		}
 	}
 }
-
-// awaitInterval is the time between two looks at the snapshot at shutdown.
-const awaitInterval = 100 * time.Millisecond
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -66,6 +66,8 @@
 	inbox       chan envelope
 	tickets     atomic.Uint64
 	view        atomic.Pointer[snapshot.Snapshot]
+	// changed holds a channel that is closed when the next snapshot is there.
+	changed atomic.Pointer[chan struct{}]
 	closing     chan struct{}
 	closeOnce   sync.Once
 	done        chan struct{}
@@ -105,7 +107,7 @@
 	for _, option := range options {
 		option(e)
 	}
-	e.view.Store(&snapshot.Snapshot{})
+	e.publish(&snapshot.Snapshot{})
 	loop := &loop{executor: e, waiting: map[ident.Ticket]chan<- outcome.Outcome{}}
 	go func() {
 		defer close(e.done)
@@ -117,6 +119,19 @@
 // Snapshot returns the newest view of control state.
 func (e *Executor) Snapshot() *snapshot.Snapshot { return e.view.Load() }
 
+// Changed returns a channel that is closed when a snapshot newer than the one at
+// the time of the call is there.
+func (e *Executor) Changed() <-chan struct{} { return *e.changed.Load() }
+
+// publish makes a snapshot the newest and wakes those who wait for it.
+func (e *Executor) publish(view *snapshot.Snapshot) {
+	e.view.Store(view)
+	next := make(chan struct{})
+	if old := e.changed.Swap(&next); old != nil {
+		close(*old)
+	}
+}
+
 // Post gives a message to the control goroutine. It is dropped after Close.
 func (e *Executor) Post(m message.Message) {
 	select {
--- a/internal/executor/loop.go
+++ b/internal/executor/loop.go
@@ -75,7 +75,8 @@
 		for _, controller := range l.executor.controllers {
 			controller.Describe(view)
 		}
-		before := l.executor.view.Swap(view)
+		before := l.executor.Snapshot()
+		l.executor.publish(view)
 		if o := l.executor.observer; o != nil {
 			o.Published(before, view)
 		}
--- a/internal/sequencer/arrival.go
+++ b/internal/sequencer/arrival.go
@@ -79,8 +79,7 @@
 		return one(s.turnAway(m, activity, failure.PositionGap, "the next position of program %s is %d; send the calls in order", m.Program, next))
 	}
 	if activity.running != nil {
-		return one(s.turnAway(m, activity, failure.CallMismatch, "call %s runs at position %d; send the next call at position %d",
-			activity.running.arrived.Request.Call, next, next+1))
+		next++
 	}
 	if m.Request.Position < next {
 		return one(s.turnAway(m, activity, failure.CallMismatch, "position %d is taken by another call id; the next position is %d", m.Request.Position, next))
