--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -67,10 +67,10 @@
 	tickets     atomic.Uint64
 	view        atomic.Pointer[snapshot.Snapshot]
 	// changed holds a channel that is closed when the next snapshot is there.
-	changed atomic.Pointer[chan struct{}]
-	closing     chan struct{}
-	closeOnce   sync.Once
-	done        chan struct{}
+	changed   atomic.Pointer[chan struct{}]
+	closing   chan struct{}
+	closeOnce sync.Once
+	done      chan struct{}
 }
 
 // Option changes how New builds an Executor.
