--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -117,7 +117,7 @@
 	switch {
 	case errors.As(err, &p):
 	case errors.As(err, &decoding):
-		p = asProblem(failure.New(failure.InvalidRequest, "%s; correct the request and send it again", decoding.Error()))
+		p = asProblem(failure.Refusal(failure.InvalidRequest, 0, "%s; correct the request and send it again", decoding.Error()))
 	default:
 		p = asProblem(err)
 	}
