entry: serve programs through the platform's store and replicas

The product runs on the users' platform by a second front end: the adapter in platform/ decodes names and calls, filters route, reserve, forward and report, and controllers keep routes, upstreams and members. No program has an owner; its rows share one part of the store.

--- /dev/null
+++ b/cmd/sassafrasspur-entry/main.go
@@ -0,0 +1,79 @@
+// Command sassafrasspur-entry runs an entry VM on a deployment's platform.
+//
+// It writes its log as JSON lines to the standard output and leaves gracefully
+// on SIGTERM. The exit code is 2 if the settings are not valid and 1 if the VM
+// can't start or has to cut requests.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/sassafrasspur/sassafrasspur"
+	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	// logLines bounds the log lines that wait for the standard output. Lines
+	// beyond it are dropped and counted.
+	logLines = 4096
+)
+
+type options struct {
+	Settings string `long:"settings" env:"SASSAFRASSPUR_SETTINGS" value-name:"FILE" description:"Settings of the entry VM in TOML"`
+	Check    bool   `long:"check-settings" description:"Check the settings, print all errors and exit"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var known *flags.Error
+		if errors.As(err, &known) && known.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitSettings)
+	}
+	os.Exit(run(o))
+}
+
+func run(o options) int {
+	s, err := entrysettings.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	var log zerolog.Logger
+	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		log.Warn().Int("lines", missed).Msg("log lines dropped")
+	})
+	defer func() { _ = out.Close() }()
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log = zerolog.New(out)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	entry, err := sassafrasspur.NewEntry(s, sassafrasspur.WithEntryLog(log))
+	if err != nil {
+		log.Error().Err(err).Msg("start failed")
+		return exitFailed
+	}
+	if err := entry.Run(ctx); err != nil {
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/entry.go
@@ -0,0 +1,226 @@
+package sassafrasspur
+
+import (
+	"context"
+	stdlog "log"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
+	"github.com/sassafrasspur/sassafrasspur/internal/connector"
+	"github.com/sassafrasspur/sassafrasspur/internal/discoverer"
+	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
+	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
+	"github.com/sassafrasspur/sassafrasspur/internal/executor"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/pathfinder"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
+	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/meter"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
+	"github.com/sassafrasspur/sassafrasspur/internal/subscriber"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+	"github.com/sassafrasspur/sassafrasspur/platform"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const (
+	// addressRetention is how long callers may keep an answer with addresses.
+	// Some keep it three times as long.
+	addressRetention = time.Second
+	// leaveAfter is the time from the request to stop during which connections
+	// are still accepted: the interval of the list of VMs and the longest time
+	// for which callers keep an address.
+	leaveAfter = 4500 * time.Millisecond
+	// killMargin is the time before the process would be killed at which it
+	// stops by itself.
+	killMargin = 400 * time.Millisecond
+	// idleSweep spaces the closing of idle connections to upstreams.
+	idleSweep = 2 * time.Second
+	// fallbackBody and fallbackIdle hold until the routes are known.
+	fallbackBody unit.Bytes = 4 << 20
+	fallbackIdle            = 15 * time.Second
+)
+
+// Entry is the process of an entry VM on a deployment whose state is in the
+// platform's store.
+type Entry struct {
+	settings entrysettings.Settings
+	log      zerolog.Logger
+	timers   *timer.Service
+	meter    *meter.Meter
+	control  *executor.Executor
+	links    *connector.Connector
+	stop     context.CancelFunc
+	servers  []*http.Server
+	callers  *http.Server
+	serving  sync.WaitGroup
+}
+
+// EntryOption changes how NewEntry builds an Entry.
+type EntryOption func(*Entry)
+
+// WithEntryLog sets the log.
+func WithEntryLog(log zerolog.Logger) EntryOption {
+	return func(e *Entry) { e.log = log }
+}
+
+// NewEntry binds the addresses of an entry VM and starts it. Errors name the
+// address that can't be bound.
+func NewEntry(s entrysettings.Settings, options ...EntryOption) (*Entry, error) {
+	e := &Entry{settings: s, timers: timer.New(), meter: meter.New(), log: zerolog.New(os.Stdout)}
+	for _, option := range options {
+		option(e)
+	}
+	e.log = e.log.With().Timestamp().Str("vm", string(s.VM)).Logger()
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	e.links = connector.New(e.timers)
+	store := platform.NewStore(s.StoreAddress)
+	e.startEntryControl(ctx, store)
+	handler := e.entryChain(ctx, store)
+	if err := e.listen(handler); err != nil {
+		stop()
+		e.control.Close()
+		return nil, err
+	}
+	go e.sweepIdle(ctx)
+	e.log.Info().Str("region", string(s.Region)).Str("failure_domain", string(s.Domain)).
+		Str("callers_address", s.CallersAddress).Msg("started")
+	return e, nil
+}
+
+func (e *Entry) startEntryControl(ctx context.Context, store rows.Store) {
+	s := e.settings
+	reject := func(what string) func(error) {
+		return func(err error) { e.log.Warn().Err(err).Msg(what) }
+	}
+	self := snapshot.Member{VM: s.VM, Address: s.CallersAddress, Domain: s.Domain, Region: s.Region}
+	seed := uuid.New()
+	e.control = executor.New(
+		executor.WithTimers(e.timers),
+		executor.WithPerformer(storeworker.New(ctx, store, e.timers)),
+		executor.WithControllers(
+			subscriber.New(platform.RoutesTable, platform.DecodeRoutes, reject("routes rejected")),
+			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, reject("upstream rejected")),
+			enroller.New(self, uuid.NewString()),
+			balancer.New(balancer.Place{Domain: s.Domain, Region: s.Region, Regions: s.Regions}, uint64(seed.ID())),
+		),
+	)
+}
+
+// entryChain sets down the order in which every request passes the filters.
+func (e *Entry) entryChain(ctx context.Context, store rows.Store) traffic.Handler {
+	turns := ledger.New(ctx, store, e.timers, ledger.WithReport(func(err error) {
+		e.log.Warn().Err(err).Msg("settlement given up")
+	}))
+	var replicas upstream.Caller = platform.NewReplicas(e.links)
+	return traffic.Chain(
+		reporter.New(e.log, e.meter, e.timers),
+		pathfinder.New(e.control.Snapshot),
+		turnrecorder.New(turns, e.timers),
+		forwarder.New(e.control, replicas, e.timers),
+	)
+}
+
+// view is the newest view for entry VMs.
+func (e *Entry) view() snapshot.Entry { return e.control.Snapshot().Entry }
+
+func (e *Entry) listen(handler traffic.Handler) error {
+	leaving := func() bool { return e.view().Leaving }
+	ready := func() bool { return e.view().Routes != nil && !e.view().Leaving }
+	addresses := func(d ident.Domain, r ident.Region) []string { return enroller.Addresses(e.view().Members, d, r) }
+	maxBody := func() unit.Bytes {
+		if routes := e.view().Routes; routes != nil && routes.Limits.BodyBytes > 0 {
+			return routes.Limits.BodyBytes
+		}
+		return fallbackBody
+	}
+	e.callers = &http.Server{
+		Handler:           platform.NewIngress(handler, e.timers, leaving, maxBody),
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       fallbackIdle,
+	}
+	metrics := http.NewServeMux()
+	metrics.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.meter.WritePrometheus(w) })
+	for _, l := range []struct {
+		key, address string
+		server       *http.Server
+	}{
+		{"callers_address", e.settings.CallersAddress, e.callers},
+		{"readiness_address", e.settings.ReadinessAddress, &http.Server{Handler: platform.NewReadiness(ready), ReadHeaderTimeout: headerLimit}},
+		{"directory_address", e.settings.DirectoryAddress, &http.Server{Handler: platform.NewDirectory(addresses, addressRetention), ReadHeaderTimeout: headerLimit}},
+		{"metrics_address", e.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerLimit}},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Annotatef(err, "%s; choose a free address of this VM", l.key)
+		}
+		l.server.ErrorLog = stdlog.New(e.log, "", 0)
+		e.servers = append(e.servers, l.server)
+		e.serving.Go(func() {
+			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				e.log.Error().Err(err).Str("address", l.address).Msg("serving ended")
+			}
+		})
+	}
+	return nil
+}
+
+// sweepIdle closes idle connections to upstreams.
+func (e *Entry) sweepIdle(ctx context.Context) {
+	for {
+		wait := e.timers.After(idleSweep)
+		select {
+		case <-wait.C:
+			e.links.CloseExpired()
+		case <-ctx.Done():
+			wait.Cancel()
+			return
+		}
+	}
+}
+
+// Run serves until the context ends, and then leaves without cutting a request:
+// the VM says that it leaves, serves for as long as callers may still have its
+// address, and closes.
+func (e *Entry) Run(ctx context.Context) error {
+	<-ctx.Done()
+	e.log.Info().Msg("leaving")
+	began := e.timers.Now()
+	e.control.Post(message.ShutdownRequested{})
+	wait := e.timers.After(min(leaveAfter, e.settings.Grace/2))
+	<-wait.C
+	limit := e.settings.Grace - killMargin - e.timers.Now().Sub(began)
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	err := e.callers.Shutdown(closing)
+	for _, server := range e.servers {
+		if server != e.callers {
+			_ = server.Close()
+		}
+	}
+	e.stop()
+	e.control.Close()
+	if err != nil {
+		e.log.Error().Err(err).Msg("left with requests under way")
+		return errors.Annotate(err, "callers were still served when the grace was over")
+	}
+	e.serving.Wait()
+	e.log.Info().Msg("left")
+	return nil
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,161 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+)
+
+// Place is where this VM is.
+type Place struct {
+	Domain  ident.Domain
+	Region  ident.Region
+	Regions map[ident.Domain]ident.Region
+}
+
+// Balancer chooses upstreams.
+type Balancer struct {
+	place  Place
+	random *rand.Rand
+
+	routes    *routing.Table
+	upstreams map[ident.PoolID][]*state
+	byID      map[ident.UpstreamID]*state
+	asOf      time.Time
+	serving   int
+}
+
+// state is what the controller knows of one upstream.
+type state struct {
+	upstream.Upstream
+	inFlight int
+	// first is the smoothed time to the first byte, 0 without an answer.
+	first time.Duration
+	// failures counts failed calls since the last answer.
+	failures int
+	// avoidUntil is the time until which other upstreams are preferred.
+	avoidUntil time.Time
+}
+
+// New returns the controller of a VM. The seed decides among equal choices.
+func New(place Place, seed uint64) *Balancer {
+	return &Balancer{
+		place:     place,
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		upstreams: map[ident.PoolID][]*state{},
+		byID:      map[ident.UpstreamID]*state{},
+		serving:   1,
+	}
+}
+
+// Handle answers choices and learns from calls.
+func (b *Balancer) Handle(now time.Time, m message.Message) []effect.Effect {
+	switch m := m.(type) {
+	case message.RoutesChanged:
+		b.routes = m.Table
+	case message.UpstreamsRead:
+		b.list(m)
+	case message.MembersListed:
+		b.serving = max(m.Serving, 1)
+	case message.ChooseUpstream:
+		return []effect.Effect{effect.Answer{Ticket: m.Ticket, Outcome: b.choose(now, m)}}
+	case message.CallEnded:
+		if s, ok := b.byID[m.Upstream]; ok {
+			s.inFlight = max(s.inFlight-1, 0)
+			s.learn(now, m.Result)
+		}
+	}
+	return nil
+}
+
+// list takes a new list over. What is known of an upstream stays; calls may
+// still be under way at one that is no longer listed.
+func (b *Balancer) list(m message.UpstreamsRead) {
+	b.asOf = m.AsOf
+	b.upstreams = map[ident.PoolID][]*state{}
+	byID := map[ident.UpstreamID]*state{}
+	for _, u := range m.Upstreams {
+		s, ok := b.byID[u.ID]
+		if !ok || s.Address != u.Address {
+			s = &state{}
+		}
+		s.Upstream = u
+		byID[u.ID] = s
+		b.upstreams[u.Pool] = append(b.upstreams[u.Pool], s)
+	}
+	b.byID = byID
+}
+
+const (
+	// refusalPause is how long an upstream is avoided that was full.
+	refusalPause = 150 * time.Millisecond
+	// failurePause is how long an upstream is avoided that failed, and doubles
+	// with each failure in a row up to longestPause.
+	failurePause = 250 * time.Millisecond
+	longestPause = 2 * time.Second
+	// smoothing is the weight of the newest time to the first byte.
+	smoothing = 0.2
+)
+
+// learn notes how a call went.
+func (s *state) learn(now time.Time, result message.UpstreamResult) {
+	switch r := result.(type) {
+	case message.UpstreamAnswered:
+		s.failures = 0
+		if s.first == 0 {
+			s.first = r.First
+		}
+		s.first += time.Duration(smoothing * float64(r.First-s.first))
+	case message.UpstreamRefused:
+		s.avoidUntil = now.Add(refusalPause)
+		if r.Misdirected {
+			s.avoidUntil = now.Add(longestPause)
+		}
+	case message.UpstreamFailed:
+		pause := min(failurePause<<min(s.failures, 4), longestPause)
+		if !r.Connected {
+			pause = longestPause
+		}
+		s.failures++
+		s.avoidUntil = now.Add(pause)
+	case message.UpstreamAbandoned:
+	}
+}
+
+// choose returns the answer to a request for an upstream.
+func (b *Balancer) choose(now time.Time, m message.ChooseUpstream) outcome.Outcome {
+	best := b.best(now, m)
+	if best == nil {
+		return outcome.Refused{Err: failure.Refusal(failure.NoUpstream, noUpstreamDelay,
+			"no upstream of pool %s can take the request; repeat it later", m.Pool)}
+	}
+	best.inFlight++
+	return outcome.Chosen{Upstream: best.Upstream, Urgency: urgency(m.Route), ViewAge: now.Sub(b.asOf)}
+}
+
+// noUpstreamDelay is what callers are told if no upstream is usable. The list
+// is read again within it.
+const noUpstreamDelay = 700 * time.Millisecond
+
+// engineUrgency is the urgency of the most important route at an engine. Less
+// important ones follow; 5 is the engine's default.
+const engineUrgency = 3
+
+func urgency(r *routing.Route) upstream.Urgency {
+	if _, ok := r.Kind.(routing.Stream); !ok {
+		return -1
+	}
+	return upstream.Urgency(min(engineUrgency+max(r.Priority, 0), 9))
+}
+
+// Describe adds nothing: upstreams are described by the controller that lists
+// them.
+func (b *Balancer) Describe(*snapshot.Snapshot) {}
--- /dev/null
+++ b/internal/effect/entry.go
@@ -0,0 +1,26 @@
+package effect
+
+import (
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+)
+
+// ReadRows reads a range of the platform's store. Reported by
+// message.RowsRead.
+type ReadRows struct{ Range rows.Range }
+
+// WatchRows waits for changes of a table after a version. Reported by
+// message.RowsChanged.
+type WatchRows struct {
+	Table rows.Table
+	After rows.Version
+	Wait  time.Duration
+}
+
+// WriteRows applies a transaction. Reported by message.RowsWritten.
+type WriteRows struct{ Transaction rows.Transaction }
+
+func (ReadRows) sealed()  {}
+func (WatchRows) sealed() {}
+func (WriteRows) sealed() {}
--- /dev/null
+++ b/internal/enroller/enroller.go
@@ -0,0 +1,156 @@
+// Package enroller has the controller that keeps this VM's row among the entry
+// VMs, and the list of those that serve callers.
+//
+// A row has the store's time at which its VM wrote it. A VM serves if its row is
+// not much older than the store's time of the read that lists it; an outage of
+// the store therefore makes no VM look dead.
+package enroller
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+)
+
+const (
+	// table has one row for each entry VM.
+	table rows.Table = "entry_vms"
+	// interval spaces the reads of the list, each of which is followed by a
+	// write of the own row.
+	interval = time.Second
+	// lifetime is the age at which a row no longer stands for a VM that serves.
+	lifetime = 3500 * time.Millisecond
+	// forgetAfter is the age at which another VM removes a row.
+	forgetAfter = 10 * time.Minute
+)
+
+// memberRow is the row of an entry VM.
+type memberRow struct {
+	Address string       `json:"address"`
+	Domain  ident.Domain `json:"domain"`
+	Region  ident.Region `json:"region"`
+	// Process is the id of the process that wrote the row.
+	Process string `json:"process"`
+	Leaving bool   `json:"leaving"`
+	Ready   bool   `json:"ready"`
+	// WrittenAt is the store's time that the VM knew when it wrote.
+	WrittenAt rows.Clock `json:"written_at"`
+}
+
+// Enroller keeps the rows of entry VMs.
+type Enroller struct {
+	self    snapshot.Member
+	process string
+
+	routed  bool
+	leaving bool
+	members []snapshot.Member
+	asOf    time.Time
+	readAt  time.Time
+}
+
+// New returns the controller of a VM.
+func New(self snapshot.Member, process string) *Enroller {
+	return &Enroller{self: self, process: process}
+}
+
+// Handle follows the rows.
+func (e *Enroller) Handle(now time.Time, m message.Message) []effect.Effect {
+	switch m := m.(type) {
+	case message.Started:
+		return e.read()
+	case message.Tick:
+		if !e.readAt.IsZero() && !now.Before(e.readAt) {
+			return e.read()
+		}
+	case message.RoutesChanged:
+		if !e.routed {
+			e.routed = true
+			return e.hasten(now)
+		}
+	case message.ShutdownRequested:
+		e.leaving = true
+		return append(e.hasten(now), effect.Publish{})
+	case message.RowsRead:
+		if m.Range.Table == table {
+			return e.took(now, m)
+		}
+	}
+	return nil
+}
+
+func (e *Enroller) read() []effect.Effect {
+	e.readAt = time.Time{}
+	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: table}}}
+}
+
+// hasten reads, and then writes, without waiting for the interval. A read that
+// is under way serves as well.
+func (e *Enroller) hasten(now time.Time) []effect.Effect {
+	if e.readAt.IsZero() {
+		return nil
+	}
+	e.readAt = now
+	return e.read()
+}
+
+func (e *Enroller) took(now time.Time, m message.RowsRead) []effect.Effect {
+	e.readAt = now.Add(interval)
+	effects := []effect.Effect{effect.WakeAt{Time: e.readAt}}
+	if m.Err != nil {
+		return effects
+	}
+	e.asOf = m.SentAt
+	transaction := rows.Transaction{}
+	condition := rows.Condition{ID: rowID(e.self.VM)}
+	e.members = nil
+	for _, row := range m.Page.Rows {
+		if row.ID == condition.ID {
+			condition.Version = row.Version
+			continue
+		}
+		var other memberRow
+		if err := json.Unmarshal(row.Value, &other); err != nil || m.Page.Clock-other.WrittenAt > rows.Clock(forgetAfter) {
+			transaction.Conditions = append(transaction.Conditions, rows.Condition{ID: row.ID, Version: row.Version})
+			transaction.Removes = append(transaction.Removes, row.ID)
+			continue
+		}
+		if other.Ready && !other.Leaving && m.Page.Clock-other.WrittenAt <= rows.Clock(lifetime) {
+			e.members = append(e.members, snapshot.Member{
+				VM: ident.VMID(row.Key), Address: other.Address, Domain: other.Domain, Region: other.Region,
+			})
+		}
+	}
+	if e.routed && !e.leaving {
+		e.members = append(e.members, e.self)
+	}
+	slices.SortFunc(e.members, func(a, b snapshot.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	value, err := json.Marshal(memberRow{
+		Address: e.self.Address, Domain: e.self.Domain, Region: e.self.Region, Process: e.process,
+		Leaving: e.leaving, Ready: e.routed, WrittenAt: m.Page.Clock,
+	})
+	if err == nil {
+		transaction.Conditions = append(transaction.Conditions, condition)
+		transaction.Puts = append(transaction.Puts, rows.Put{ID: condition.ID, Value: value})
+		effects = append(effects, effect.WriteRows{Transaction: transaction})
+	}
+	return append(effects, effect.Publish{}, effect.Send{Message: message.MembersListed{Serving: len(e.members)}})
+}
+
+func rowID(vm ident.VMID) rows.ID { return rows.ID{Table: table, Key: rows.Key(vm)} }
+
+// Describe adds the members to a snapshot. Without a list there is this VM
+// alone.
+func (e *Enroller) Describe(view *snapshot.Snapshot) {
+	view.Entry.Members, view.Entry.MembersAsOf, view.Entry.Leaving = e.members, e.asOf, e.leaving
+	if e.members == nil && e.routed && !e.leaving {
+		view.Entry.Members = []snapshot.Member{e.self}
+	}
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -29,6 +29,8 @@
 	NotDurable          = Kind("not_durable")
 	OutcomeUnknown      = Kind("outcome_unknown")
 	UpstreamFailed      = Kind("upstream_failed")
+	TimedOut            = Kind("timed_out")
+	TooLarge            = Kind("too_large")
 	PlanStale           = Kind("plan_stale")
 	ShuttingDown        = Kind("shutting_down")
 	Internal            = Kind("internal")
--- /dev/null
+++ b/internal/message/entry.go
@@ -0,0 +1,104 @@
+package message
+
+import (
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+)
+
+// RowsRead reports effect.ReadRows.
+type RowsRead struct {
+	Range rows.Range
+	Page  rows.Page
+	// Err is nil if the page is as of a moment after SentAt.
+	Err    error
+	SentAt time.Time
+}
+
+// RowsChanged reports effect.WatchRows.
+type RowsChanged struct {
+	Table  rows.Table
+	Page   rows.Page
+	Err    error
+	SentAt time.Time
+}
+
+// RowsWritten reports effect.WriteRows.
+type RowsWritten struct {
+	Transaction rows.Transaction
+	Outcome     rows.Outcome
+	Err         error
+}
+
+// RoutesChanged says that a new version of the routes is in force.
+type RoutesChanged struct {
+	Table *routing.Table
+	AsOf  time.Time
+}
+
+// UpstreamsRead has all upstreams as of a moment.
+type UpstreamsRead struct {
+	Upstreams []upstream.Upstream
+	AsOf      time.Time
+}
+
+// MembersListed says how many entry VMs serve callers.
+type MembersListed struct{ Serving int }
+
+// ChooseUpstream asks for an upstream for a call.
+type ChooseUpstream struct {
+	Ticket ident.Ticket
+	Pool   ident.PoolID
+	Route  *routing.Route
+	// Affinity names what upstreams keep in memory; calls with the same one
+	// should meet. It is empty if there is nothing.
+	Affinity string
+	Prompt   *traffic.Prompt
+	// Tried lists the upstreams that were tried for the same request.
+	Tried    []ident.UpstreamID
+	Deadline time.Time
+}
+
+// UpstreamResult says how a call to an upstream went. The interface is sealed:
+// the variants are the types of this package.
+type UpstreamResult interface{ upstreamResult() }
+
+// UpstreamAnswered says that the upstream worked on the call and completed it.
+type UpstreamAnswered struct {
+	// First is the time to the first byte of the answer.
+	First time.Duration
+}
+
+// UpstreamRefused says that the upstream did not run the call.
+type UpstreamRefused struct{ Misdirected bool }
+
+// UpstreamFailed says that there was no complete answer.
+type UpstreamFailed struct{ Connected bool }
+
+// UpstreamAbandoned says that the call was given up for a reason that is not
+// the upstream's.
+type UpstreamAbandoned struct{}
+
+func (UpstreamAnswered) upstreamResult()  {}
+func (UpstreamRefused) upstreamResult()   {}
+func (UpstreamFailed) upstreamResult()    {}
+func (UpstreamAbandoned) upstreamResult() {}
+
+// CallEnded says that a call no longer uses its upstream.
+type CallEnded struct {
+	Upstream ident.UpstreamID
+	Result   UpstreamResult
+}
+
+func (RowsRead) sealed()       {}
+func (RowsChanged) sealed()    {}
+func (RowsWritten) sealed()    {}
+func (RoutesChanged) sealed()  {}
+func (UpstreamsRead) sealed()  {}
+func (MembersListed) sealed()  {}
+func (ChooseUpstream) sealed() {}
+func (CallEnded) sealed()      {}
--- /dev/null
+++ b/internal/meter/exchange.go
@@ -0,0 +1,17 @@
+package meter
+
+import (
+	"fmt"
+	"time"
+)
+
+// ObserveExchange counts an exchange that ended, with its kind of request. The
+// duration is from arrival to end. A first event of 0 or less says that there
+// was none.
+func (m *Meter) ObserveExchange(class, outcome string, first, whole time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_exchanges_total{class="%s",outcome="%s"}`, class, outcome)).Inc()
+	m.set.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`sassafrasspur_exchange_seconds{class="%s"}`, class), secondBounds).Update(whole.Seconds())
+	if first > 0 {
+		m.set.GetOrCreatePrometheusHistogramExt(fmt.Sprintf(`sassafrasspur_first_event_seconds{class="%s"}`, class), secondBounds).Update(first.Seconds())
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -2,11 +2,14 @@
 package outcome
 
 import (
+	"time"
+
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/program"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
@@ -69,3 +72,14 @@
 func (Durable) sealed() {}
 func (Granted) sealed() {}
 func (Refused) sealed() {}
+
+// Chosen names the upstream of a call. The caller reports the end of the call
+// by message.CallEnded.
+type Chosen struct {
+	Upstream upstream.Upstream
+	Urgency  upstream.Urgency
+	// ViewAge is the age of the list that the upstream was chosen from.
+	ViewAge time.Duration
+}
+
+func (Chosen) sealed() {}
--- /dev/null
+++ b/internal/snapshot/entry.go
@@ -0,0 +1,32 @@
+package snapshot
+
+import (
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+)
+
+// Entry is the part of the view for entry VMs of a deployment whose routes the
+// operator writes to the platform's store.
+type Entry struct {
+	// Routes is nil until the first version was read.
+	Routes     *routing.Table
+	RoutesAsOf time.Time
+	// Members are the entry VMs that serve callers, this one included.
+	Members     []Member
+	MembersAsOf time.Time
+	// Upstreams is the number of upstreams that may get new work.
+	Upstreams     int
+	UpstreamsAsOf time.Time
+	// Leaving is set from the request to shut down.
+	Leaving bool
+}
+
+// Member is an entry VM that serves callers.
+type Member struct {
+	VM      ident.VMID
+	Address string
+	Domain  ident.Domain
+	Region  ident.Region
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -43,6 +43,8 @@
 	// PlatformSeen is when the last own read of the platform that succeeded was
 	// started.
 	PlatformSeen time.Time
+	// Entry is used where no program has an owner.
+	Entry Entry
 }
 
 // UnknownCall is a call whose outcome is unknown.
--- /dev/null
+++ b/internal/storeworker/storeworker.go
@@ -0,0 +1,45 @@
+// Package storeworker carries out the effects that need the platform's store.
+package storeworker
+
+import (
+	"context"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+// Storeworker reads and writes rows for controllers.
+type Storeworker struct {
+	ctx    context.Context
+	store  rows.Store
+	timers *timer.Service
+}
+
+// New returns a worker whose requests end with the context.
+func New(ctx context.Context, store rows.Store, timers *timer.Service) *Storeworker {
+	return &Storeworker{ctx: ctx, store: store, timers: timers}
+}
+
+// Perform starts an effect. Effects that are not the store's are ignored.
+func (w *Storeworker) Perform(e effect.Effect, post func(message.Message)) {
+	sent := w.timers.Now()
+	switch e := e.(type) {
+	case effect.ReadRows:
+		go func() {
+			page, err := w.store.Read(w.ctx, e.Range)
+			post(message.RowsRead{Range: e.Range, Page: page, Err: err, SentAt: sent})
+		}()
+	case effect.WatchRows:
+		go func() {
+			page, err := w.store.Changes(w.ctx, e.Table, e.After, e.Wait)
+			post(message.RowsChanged{Table: e.Table, Page: page, Err: err, SentAt: sent})
+		}()
+	case effect.WriteRows:
+		go func() {
+			outcome, err := w.store.Commit(w.ctx, e.Transaction)
+			post(message.RowsWritten{Transaction: e.Transaction, Outcome: outcome, Err: err})
+		}()
+	}
+}
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,99 @@
+// Package subscriber has the controller that keeps the routes up to date.
+//
+// It reads the routes once and then waits for changes. A version is never
+// replaced by an older one. When changes were lost, or can't be read, it reads
+// the routes again.
+package subscriber
+
+import (
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+)
+
+const (
+	// watchWait bounds one wait for changes. A connection that went silent is
+	// noticed after it; a version is to be in force within 2.5 s.
+	watchWait = time.Second
+	// readPause spaces reads after an error.
+	readPause = 250 * time.Millisecond
+)
+
+// Subscriber keeps the routes.
+type Subscriber struct {
+	table  rows.Table
+	decode func(rows.Row) (*routing.Table, error)
+	reject func(error)
+
+	routes *routing.Table
+	asOf   time.Time
+	// seen is the version of the store up to which changes are known.
+	seen rows.Version
+	// readAt is when the routes are to be read again, zero while a request to
+	// the store is under way.
+	readAt time.Time
+}
+
+// New returns the controller for the routes in a table. Rows that can't be
+// decoded are given to reject and change nothing.
+func New(table rows.Table, decode func(rows.Row) (*routing.Table, error), reject func(error)) *Subscriber {
+	return &Subscriber{table: table, decode: decode, reject: reject}
+}
+
+// Handle follows the routes.
+func (s *Subscriber) Handle(now time.Time, m message.Message) []effect.Effect {
+	switch m := m.(type) {
+	case message.Started:
+		return s.read()
+	case message.Tick:
+		if !s.readAt.IsZero() && !now.Before(s.readAt) {
+			return s.read()
+		}
+	case message.RowsRead:
+		if m.Range.Table == s.table {
+			return s.took(now, m.Page, m.Err, m.SentAt)
+		}
+	case message.RowsChanged:
+		if m.Table == s.table {
+			return s.took(now, m.Page, m.Err, m.SentAt)
+		}
+	}
+	return nil
+}
+
+func (s *Subscriber) read() []effect.Effect {
+	s.readAt = time.Time{}
+	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: s.table}}}
+}
+
+// took applies what the store said and asks for what comes next.
+func (s *Subscriber) took(now time.Time, page rows.Page, err error, sent time.Time) []effect.Effect {
+	if err != nil {
+		s.readAt = now.Add(readPause)
+		return []effect.Effect{effect.WakeAt{Time: s.readAt}}
+	}
+	s.seen, s.asOf = page.Version, sent
+	effects := []effect.Effect{effect.WatchRows{Table: s.table, After: s.seen, Wait: watchWait}, effect.Publish{}}
+	for _, row := range page.Rows {
+		table, err := s.decode(row)
+		if err != nil {
+			s.reject(err)
+			continue
+		}
+		if table == nil || s.routes != nil && table.Version <= s.routes.Version {
+			continue
+		}
+		s.routes = table
+		effects = append(effects, effect.Send{Message: message.RoutesChanged{Table: table, AsOf: sent}})
+	}
+	return effects
+}
+
+// Describe adds the routes to a snapshot.
+func (s *Subscriber) Describe(view *snapshot.Snapshot) {
+	view.Entry.Routes, view.Entry.RoutesAsOf = s.routes, s.asOf
+}
