pacer: ask again for a wake after each tick

Ruled out: entries kept after an outage, stale reads of the store. A lapsed entry is now kept only if it was missing from the first list after an outage. Conclusion: requests for wakes belong to one type.

--- a/entry.go
+++ b/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/discoverer"
 	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
+	"github.com/sassafrasspur/sassafrasspur/internal/entrylogger"
 	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
@@ -47,8 +48,8 @@
 	// for which callers keep an address.
 	leaveAfter = 4500 * time.Millisecond
 	// killMargin is the time before the process would be killed at which it
-	// stops by itself.
-	killMargin = 400 * time.Millisecond
+	// stops by itself. A VM that runs slowly needs more than half a second.
+	killMargin = time.Second
 	// idleSweep spaces the closing of idle connections to upstreams.
 	idleSweep = 2 * time.Second
 	// fallbackBody and fallbackIdle hold until the routes are known.
@@ -114,6 +115,7 @@
 	e.control = executor.New(
 		executor.WithTimers(e.timers),
 		executor.WithPerformer(storeworker.New(ctx, store, e.timers)),
+		executor.WithObserver(entrylogger.New(e.log, e.meter)),
 		executor.WithControllers(
 			subscriber.New(platform.RoutesTable, platform.DecodeRoutes, reject("routes rejected")),
 			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, reject("upstream rejected")),
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -1,9 +1,10 @@
 // Package discoverer has the controller that keeps the list of upstreams.
 //
 // It reads the whole list at an interval, so that no change can be lost. An
-// entry that disappears while the store is away, or shortly after, may have
-// lapsed although its upstream lives; it is kept until the store has been back
-// long enough for the upstream to register again.
+// entry that is missing from the first list after an outage of the store may
+// have lapsed although its upstream lives; it is kept until the store has been
+// back long enough for the upstream to register again. An entry that disappears
+// later is gone.
 package discoverer
 
 import (
@@ -14,6 +15,7 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
@@ -39,11 +41,12 @@
 
 	known map[ident.UpstreamID]upstream.Upstream
 	asOf  time.Time
-	// graceUntil is the end of the time in which entries are kept that are
-	// missing after an outage.
-	graceUntil time.Time
-	readAt     time.Time
-	rejected   map[rows.Key]bool
+	// lapsed has the entries that were missing from the first list after an
+	// outage; they are kept until lapsedUntil.
+	lapsed      map[ident.UpstreamID]upstream.Upstream
+	lapsedUntil time.Time
+	pacer       pacer.Pacer
+	rejected    map[rows.Key]bool
 }
 
 // New returns the controller for the list in a table. The reason of each entry
@@ -61,9 +64,11 @@
 	case message.Started:
 		return d.read()
 	case message.Tick:
-		if !d.readAt.IsZero() && !now.Before(d.readAt) {
+		due, effects := d.pacer.Tick(now)
+		if due {
 			return d.read()
 		}
+		return effects
 	case message.RowsRead:
 		if m.Range.Table == d.table {
 			return d.took(now, m)
@@ -73,29 +78,35 @@
 }
 
 func (d *Discoverer) read() []effect.Effect {
-	d.readAt = time.Time{}
 	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: d.table}}}
 }
 
 func (d *Discoverer) took(now time.Time, m message.RowsRead) []effect.Effect {
-	d.readAt = m.SentAt.Add(readInterval)
-	if earliest := now.Add(readInterval / 4); d.readAt.Before(earliest) {
-		d.readAt = earliest
+	next := m.SentAt.Add(readInterval)
+	if earliest := now.Add(readInterval / 4); next.Before(earliest) {
+		next = earliest
 	}
-	effects := []effect.Effect{effect.WakeAt{Time: d.readAt}}
 	if m.Err != nil {
-		return effects
+		return []effect.Effect{d.pacer.Set(next)}
 	}
+	before := d.known
+	d.known = d.decodeAll(m.Page.Rows)
 	if !d.asOf.IsZero() && m.SentAt.Sub(d.asOf) > outageAge {
-		d.graceUntil = now.Add(returnGrace)
+		d.lapsed, d.lapsedUntil = before, now.Add(returnGrace)
 	}
 	d.asOf = m.SentAt
-	d.replace(now, m.Page.Rows)
-	return append(effects, effect.Publish{}, effect.Send{Message: message.UpstreamsRead{Upstreams: d.list(), AsOf: d.asOf}})
+	d.keepLapsed(now)
+	if len(d.lapsed) > 0 && d.lapsedUntil.Before(next) {
+		next = d.lapsedUntil
+	}
+	return []effect.Effect{
+		d.pacer.Set(next), effect.Publish{},
+		effect.Send{Message: message.UpstreamsRead{Upstreams: d.list(), AsOf: d.asOf}},
+	}
 }
 
-// replace makes the rows the new list.
-func (d *Discoverer) replace(now time.Time, listed []rows.Row) {
+// decodeAll returns the upstreams of rows.
+func (d *Discoverer) decodeAll(listed []rows.Row) map[ident.UpstreamID]upstream.Upstream {
 	known := map[ident.UpstreamID]upstream.Upstream{}
 	for _, row := range listed {
 		u, err := d.decode(row)
@@ -109,14 +120,22 @@
 		delete(d.rejected, row.Key)
 		known[u.ID] = u
 	}
-	if now.Before(d.graceUntil) {
-		for id, u := range d.known {
-			if _, ok := known[id]; !ok {
-				known[id] = u
-			}
+	return known
+}
+
+// keepLapsed adds the lapsed entries that have not returned. One that was
+// listed since is no longer lapsed.
+func (d *Discoverer) keepLapsed(now time.Time) {
+	if !now.Before(d.lapsedUntil) {
+		d.lapsed = nil
+	}
+	lapsed := map[ident.UpstreamID]upstream.Upstream{}
+	for id, u := range d.lapsed {
+		if _, listed := d.known[id]; !listed {
+			lapsed[id], d.known[id] = u, u
 		}
 	}
-	d.known = known
+	d.lapsed = lapsed
 }
 
 // list returns the upstreams in the order of their ids.
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -27,7 +27,8 @@
 // Send gives a message to the controllers before any other message.
 type Send struct{ Message message.Message }
 
-// WakeAt asks for message.Tick at a time. Ticks may come earlier, too.
+// WakeAt asks for message.Tick at a time. Ticks may come earlier, too. A tick
+// ends all requests so far: a controller asks again for a later one.
 type WakeAt struct{ Time time.Time }
 
 // Publish asks for a new snapshot.
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -15,6 +15,7 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 )
@@ -53,7 +54,7 @@
 	leaving bool
 	members []snapshot.Member
 	asOf    time.Time
-	readAt  time.Time
+	pacer   pacer.Pacer
 }
 
 // New returns the controller of a VM.
@@ -67,9 +68,11 @@
 	case message.Started:
 		return e.read()
 	case message.Tick:
-		if !e.readAt.IsZero() && !now.Before(e.readAt) {
+		due, effects := e.pacer.Tick(now)
+		if due {
 			return e.read()
 		}
+		return effects
 	case message.RoutesChanged:
 		if !e.routed {
 			e.routed = true
@@ -87,23 +90,20 @@
 }
 
 func (e *Enroller) read() []effect.Effect {
-	e.readAt = time.Time{}
 	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: table}}}
 }
 
 // hasten reads, and then writes, without waiting for the interval. A read that
 // is under way serves as well.
 func (e *Enroller) hasten(now time.Time) []effect.Effect {
-	if e.readAt.IsZero() {
+	if !e.pacer.IsSet() {
 		return nil
 	}
-	e.readAt = now
-	return e.read()
+	return []effect.Effect{e.pacer.Set(now)}
 }
 
 func (e *Enroller) took(now time.Time, m message.RowsRead) []effect.Effect {
-	e.readAt = now.Add(interval)
-	effects := []effect.Effect{effect.WakeAt{Time: e.readAt}}
+	effects := []effect.Effect{e.pacer.Set(now.Add(interval))}
 	if m.Err != nil {
 		return effects
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -10,6 +10,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
@@ -33,9 +34,8 @@
 	asOf   time.Time
 	// seen is the version of the store up to which changes are known.
 	seen rows.Version
-	// readAt is when the routes are to be read again, zero while a request to
-	// the store is under way.
-	readAt time.Time
+	// pacer has the next read, none while a request to the store is under way.
+	pacer pacer.Pacer
 }
 
 // New returns the controller for the routes in a table. Rows that can't be
@@ -50,9 +50,11 @@
 	case message.Started:
 		return s.read()
 	case message.Tick:
-		if !s.readAt.IsZero() && !now.Before(s.readAt) {
+		due, effects := s.pacer.Tick(now)
+		if due {
 			return s.read()
 		}
+		return effects
 	case message.RowsRead:
 		if m.Range.Table == s.table {
 			return s.took(now, m.Page, m.Err, m.SentAt)
@@ -66,15 +68,13 @@
 }
 
 func (s *Subscriber) read() []effect.Effect {
-	s.readAt = time.Time{}
 	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: s.table}}}
 }
 
 // took applies what the store said and asks for what comes next.
 func (s *Subscriber) took(now time.Time, page rows.Page, err error, sent time.Time) []effect.Effect {
 	if err != nil {
-		s.readAt = now.Add(readPause)
-		return []effect.Effect{effect.WakeAt{Time: s.readAt}}
+		return []effect.Effect{s.pacer.Set(now.Add(readPause))}
 	}
 	s.seen, s.asOf = page.Version, sent
 	effects := []effect.Effect{effect.WatchRows{Table: s.table, After: s.seen, Wait: watchWait}, effect.Publish{}}
