--- /dev/null
+++ b/internal/standin/rowkeeper/rowkeeper.go
@@ -0,0 +1,205 @@
+// Package rowkeeper is an in-memory stand-in for the platform's store of rows,
+// with the faults that the store may have.
+package rowkeeper
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+)
+
+// Fault says how the store treats a call. The interface is sealed: the variants
+// are the types of this package.
+type Fault interface{ fault() }
+
+// Refuse answers that nothing was done.
+type Refuse struct{}
+
+// LoseAnswer does what was asked and does not answer.
+type LoseAnswer struct{}
+
+// ApplyLate does not answer, and applies the transaction when Settle is called,
+// if its conditions still hold then.
+type ApplyLate struct{}
+
+func (Refuse) fault()     {}
+func (LoseAnswer) fault() {}
+func (ApplyLate) fault()  {}
+
+// Rowkeeper keeps rows. It may be used by several goroutines.
+type Rowkeeper struct {
+	mu      sync.Mutex
+	version rows.Version
+	rows    map[rows.ID]rows.Row
+	removed map[rows.ID]rows.Version
+	// compacted is the version before which changes are forgotten.
+	compacted rows.Version
+	late      []rows.Transaction
+	faults    func(write bool) Fault
+	started   time.Time
+	changed   chan struct{}
+	commits   int
+	reads     int
+}
+
+// New returns an empty store.
+func New() *Rowkeeper {
+	return &Rowkeeper{
+		rows: map[rows.ID]rows.Row{}, removed: map[rows.ID]rows.Version{},
+		faults: func(bool) Fault { return nil }, started: time.Now(), changed: make(chan struct{}),
+	}
+}
+
+// Inject sets what decides on the fault of each call; nil is none.
+func (k *Rowkeeper) Inject(faults func(write bool) Fault) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = faults
+}
+
+// Calls returns the number of transactions and of reads so far.
+func (k *Rowkeeper) Calls() (commits, reads int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.commits, k.reads
+}
+
+// Settle applies the transactions that were held back.
+func (k *Rowkeeper) Settle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, t := range k.late {
+		k.apply(t)
+	}
+	k.late = nil
+}
+
+// Compact forgets all changes so far.
+func (k *Rowkeeper) Compact() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.compacted = k.version
+	k.removed = map[rows.ID]rows.Version{}
+}
+
+// Commit applies a transaction.
+func (k *Rowkeeper) Commit(_ context.Context, t rows.Transaction) (rows.Outcome, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.commits++
+	switch k.faults(true).(type) {
+	case Refuse:
+		return nil, rows.ErrUnavailable
+	case LoseAnswer:
+		k.apply(t)
+		return nil, rows.ErrUnknown
+	case ApplyLate:
+		k.late = append(k.late, t)
+		return nil, rows.ErrUnknown
+	}
+	return k.apply(t), nil
+}
+
+func (k *Rowkeeper) apply(t rows.Transaction) rows.Outcome {
+	holds := true
+	var current []rows.Row
+	for _, c := range t.Conditions {
+		row, ok := k.rows[c.ID]
+		if ok {
+			current = append(current, row)
+		}
+		holds = holds && row.Version == c.Version
+	}
+	if !holds {
+		return rows.Conflict{Rows: current}
+	}
+	k.version++
+	for _, p := range t.Puts {
+		k.rows[p.ID] = rows.Row{ID: p.ID, Value: slices.Clone(p.Value), Version: k.version}
+		delete(k.removed, p.ID)
+	}
+	for _, id := range t.Removes {
+		delete(k.rows, id)
+		k.removed[id] = k.version
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+	return rows.Committed{Version: k.version}
+}
+
+// Read returns the rows of a range.
+func (k *Rowkeeper) Read(_ context.Context, r rows.Range) (rows.Page, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads++
+	if fault := k.faults(false); fault != nil {
+		return rows.Page{}, faultError(fault)
+	}
+	page := k.page()
+	for id, row := range k.rows {
+		if id.Table == r.Table && id.Part == r.Part && id.Key >= r.From && (r.To == "" || id.Key < r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return page, nil
+}
+
+func faultError(f Fault) error {
+	if _, ok := f.(Refuse); ok {
+		return rows.ErrUnavailable
+	}
+	return rows.ErrUnknown
+}
+
+func (k *Rowkeeper) page() rows.Page {
+	return rows.Page{Version: k.version, Clock: rows.Clock(time.Since(k.started))}
+}
+
+// Changes returns the rows of a table that changed after a version.
+func (k *Rowkeeper) Changes(ctx context.Context, t rows.Table, after rows.Version, wait time.Duration) (rows.Page, error) {
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
+	for {
+		page, changed, err := k.changes(t, after)
+		if err != nil || len(page.Rows) > 0 || len(page.Removed) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return page, nil
+		case <-ctx.Done():
+			return rows.Page{}, rows.ErrUnknown
+		}
+	}
+}
+
+func (k *Rowkeeper) changes(t rows.Table, after rows.Version) (rows.Page, <-chan struct{}, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads++
+	if fault := k.faults(false); fault != nil {
+		return rows.Page{}, nil, faultError(fault)
+	}
+	if after < k.compacted {
+		return rows.Page{}, nil, rows.ErrCompacted
+	}
+	page := k.page()
+	for id, row := range k.rows {
+		if id.Table == t && row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	for id, version := range k.removed {
+		if id.Table == t && version > after {
+			page.Removed = append(page.Removed, id)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Version, b.Version) })
+	return page, k.changed, nil
+}
--- /dev/null
+++ b/internal/standin/rowserver/rowserver.go
@@ -0,0 +1,153 @@
+// Package rowserver serves a stand-in for the platform's store by the
+// platform's published protocol.
+package rowserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+)
+
+// Rowserver serves one store.
+type Rowserver struct {
+	keeper *rowkeeper.Rowkeeper
+}
+
+// New returns a server of a store.
+func New(keeper *rowkeeper.Rowkeeper) *Rowserver { return &Rowserver{keeper: keeper} }
+
+type wireRow struct {
+	Table   rows.Table   `json:"table"`
+	Part    rows.Part    `json:"part"`
+	Key     rows.Key     `json:"key"`
+	Value   []byte       `json:"value"`
+	Ver     rows.Version `json:"ver"`
+	Deleted bool         `json:"deleted,omitempty"`
+}
+
+func (w wireRow) id() rows.ID { return rows.ID{Table: w.Table, Part: w.Part, Key: w.Key} }
+
+type wirePage struct {
+	Rows      []wireRow    `json:"rows,omitempty"`
+	Truncated bool         `json:"truncated"`
+	Ver       rows.Version `json:"ver"`
+	NowMs     int64        `json:"nowMs"`
+}
+
+func wire(page rows.Page) wirePage {
+	w := wirePage{Ver: page.Version, NowMs: time.Duration(page.Clock).Milliseconds()}
+	for _, row := range page.Rows {
+		w.Rows = append(w.Rows, wireRow{Table: row.Table, Part: row.Part, Key: row.Key, Value: row.Value, Ver: row.Version})
+	}
+	for _, id := range page.Removed {
+		w.Rows = append(w.Rows, wireRow{Table: id.Table, Part: id.Part, Key: id.Key, Deleted: true})
+	}
+	return w
+}
+
+// Handler returns the calls of the store.
+func (s *Rowserver) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/rows-tx", s.commit)
+	mux.HandleFunc("GET /api/rows-get", s.read)
+	mux.HandleFunc("GET /api/rows-feed", s.changes)
+	return mux
+}
+
+func (s *Rowserver) commit(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Precondition []wireRow `json:"precondition"`
+		Puts         []wireRow `json:"puts"`
+		Remove       []wireRow `json:"remove"`
+		Across       bool      `json:"across"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var t rows.Transaction
+	parts := map[rows.Part]bool{}
+	for _, c := range body.Precondition {
+		parts[c.Part] = true
+		t.Conditions = append(t.Conditions, rows.Condition{ID: c.id(), Version: c.Ver})
+	}
+	for _, p := range body.Puts {
+		parts[p.Part] = true
+		t.Puts = append(t.Puts, rows.Put{ID: p.id(), Value: p.Value})
+	}
+	for _, d := range body.Remove {
+		parts[d.Part] = true
+		t.Removes = append(t.Removes, d.id())
+	}
+	if len(parts) > 1 && !body.Across {
+		http.Error(w, "entries of several parts", http.StatusBadRequest)
+		return
+	}
+	outcome, err := s.keeper.Commit(r.Context(), t)
+	switch o := outcome.(type) {
+	case rows.Committed:
+		reply(w, http.StatusOK, wirePage{Ver: o.Version})
+	case rows.Conflict:
+		reply(w, http.StatusPreconditionFailed, wire(rows.Page{Rows: o.Rows}))
+	default:
+		fail(w, err)
+	}
+}
+
+func (s *Rowserver) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	page, err := s.keeper.Read(r.Context(), rows.Range{
+		Table: rows.Table(q.Get("table")), Part: rows.Part(q.Get("part")), From: rows.Key(q.Get("from")), To: rows.Key(q.Get("to")),
+	})
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer := wire(page)
+	if limit, err := strconv.Atoi(q.Get("limit")); err == nil && limit < len(answer.Rows) {
+		answer.Rows, answer.Truncated = answer.Rows[:limit], true
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+func (s *Rowserver) changes(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, afterErr := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, waitErr := strconv.Atoi(q.Get("waitMs"))
+	if afterErr != nil || waitErr != nil {
+		http.Error(w, "after and waitMs are numbers", http.StatusBadRequest)
+		return
+	}
+	page, err := s.keeper.Changes(r.Context(), rows.Table(q.Get("table")), rows.Version(after), time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, http.StatusOK, wire(page))
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A client that is gone does not need the answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// fail answers as the store does in an outage. A lost answer closes the
+// connection.
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, rows.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, rows.ErrUnavailable):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
