escrow: hold parts of budgets at one VM of a failure domain

Ruled out: batches of one VM (10 turns a second each). The oracle of budgets fails for a missing condition on the budget row, use that is not counted and parts that are refunded whole.

--- a/entry.go
+++ b/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,14 +21,17 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
 	"github.com/sassafrasspur/sassafrasspur/internal/entrylogger"
 	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
+	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/pathfinder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
+	"github.com/sassafrasspur/sassafrasspur/internal/granter"
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/meter"
+	"github.com/sassafrasspur/sassafrasspur/internal/peerlink"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
@@ -60,16 +64,19 @@
 // Entry is the process of an entry VM on a deployment whose state is in the
 // platform's store.
 type Entry struct {
-	settings entrysettings.Settings
-	log      zerolog.Logger
-	timers   *timer.Service
-	meter    *meter.Meter
-	control  *executor.Executor
-	links    *connector.Connector
-	stop     context.CancelFunc
-	servers  []*http.Server
-	callers  *http.Server
-	serving  sync.WaitGroup
+	settings     entrysettings.Settings
+	log          zerolog.Logger
+	timers       *timer.Service
+	meter        *meter.Meter
+	control      *executor.Executor
+	links        *connector.Connector
+	budgets      *escrow.Escrow
+	peers        *peerlink.Peerlink
+	stop         context.CancelFunc
+	peerListener net.Listener
+	servers      []*http.Server
+	callers      *http.Server
+	serving      sync.WaitGroup
 }
 
 // EntryOption changes how NewEntry builds an Entry.
@@ -93,8 +100,9 @@
 	e.links = connector.New(e.timers)
 	store := platform.NewStore(s.StoreAddress)
 	e.startEntryControl(ctx, store)
-	handler := e.entryChain(ctx, store)
-	if err := e.listen(handler); err != nil {
+	e.budgets = escrow.New(ctx, store, e.timers, escrow.WithReport(e.report("budget not settled")))
+	e.peers = peerlink.New(e.budgets, e.timers, e.report("peer failed"))
+	if err := e.listen(ctx, e.entryChain(store)); err != nil {
 		stop()
 		e.control.Close()
 		return nil, err
@@ -107,18 +115,15 @@
 
 func (e *Entry) startEntryControl(ctx context.Context, store rows.Store) {
 	s := e.settings
-	reject := func(what string) func(error) {
-		return func(err error) { e.log.Warn().Err(err).Msg(what) }
-	}
-	self := snapshot.Member{VM: s.VM, Address: s.CallersAddress, Domain: s.Domain, Region: s.Region}
+	self := snapshot.Member{VM: s.VM, Address: s.CallersAddress, PeerAddress: peerAddress(s), Domain: s.Domain, Region: s.Region}
 	seed := uuid.New()
 	e.control = executor.New(
 		executor.WithTimers(e.timers),
 		executor.WithPerformer(storeworker.New(ctx, store, e.timers)),
 		executor.WithObserver(entrylogger.New(e.log, e.meter)),
 		executor.WithControllers(
-			subscriber.New(platform.RoutesTable, platform.DecodeRoutes, reject("routes rejected")),
-			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, reject("upstream rejected")),
+			subscriber.New(platform.RoutesTable, platform.DecodeRoutes, e.report("routes rejected")),
+			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, e.report("upstream rejected")),
 			enroller.New(self, uuid.NewString()),
 			balancer.New(balancer.Place{Domain: s.Domain, Region: s.Region, Regions: s.Regions}, uint64(seed.ID())),
 		),
@@ -126,23 +131,38 @@
 }
 
 // entryChain sets down the order in which every request passes the filters.
-func (e *Entry) entryChain(ctx context.Context, store rows.Store) traffic.Handler {
-	turns := ledger.New(ctx, store, e.timers, ledger.WithReport(func(err error) {
-		e.log.Warn().Err(err).Msg("settlement given up")
-	}))
+func (e *Entry) entryChain(store rows.Store) traffic.Handler {
 	var replicas upstream.Caller = platform.NewReplicas(e.links)
+	members := func() []snapshot.Member { return e.view().Members }
 	return traffic.Chain(
 		reporter.New(e.log, e.meter, e.timers),
 		pathfinder.New(e.control.Snapshot),
-		turnrecorder.New(turns, e.timers),
+		turnrecorder.New(e.settings.Domain,
+			granter.New(e.settings.VM, e.budgets, e.peers, members), ledger.New(store, e.timers), e.timers),
 		forwarder.New(e.control, replicas, e.timers),
 	)
 }
 
+// report logs an error that no caller learns of.
+func (e *Entry) report(what string) func(error) {
+	return func(err error) { e.log.Warn().Err(err).Msg(what) }
+}
+
+// peerAddress is where other entry VMs connect.
+func peerAddress(s entrysettings.Settings) string {
+	return net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPorts[0]))
+}
+
 // view is the newest view for entry VMs.
 func (e *Entry) view() snapshot.Entry { return e.control.Snapshot().Entry }
 
-func (e *Entry) listen(handler traffic.Handler) error {
+func (e *Entry) listen(ctx context.Context, handler traffic.Handler) error {
+	peers, err := net.Listen("tcp", peerAddress(e.settings))
+	if err != nil {
+		return errors.Annotate(err, "peer_ports; choose a free port of this VM")
+	}
+	e.peerListener = peers
+	go e.peers.Serve(ctx, peers)
 	leaving := func() bool { return e.view().Leaving }
 	ready := func() bool { return e.view().Routes != nil && !e.view().Leaving }
 	addresses := func(d ident.Domain, r ident.Region) []string { return enroller.Addresses(e.view().Members, d, r) }
@@ -216,7 +236,11 @@
 			_ = server.Close()
 		}
 	}
+	e.budgets.Flush(closing)
 	e.stop()
+	if closed := e.peerListener.Close(); closed != nil {
+		e.log.Warn().Err(closed).Msg("peer address not closed")
+	}
 	e.control.Close()
 	if err != nil {
 		e.log.Error().Err(err).Msg("left with requests under way")
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -35,6 +35,7 @@
 // memberRow is the row of an entry VM.
 type memberRow struct {
 	Address string       `json:"address"`
+	Peer    string       `json:"peer"`
 	Domain  ident.Domain `json:"domain"`
 	Region  ident.Region `json:"region"`
 	// Process is the id of the process that wrote the row.
@@ -124,7 +125,7 @@
 		}
 		if other.Ready && !other.Leaving && m.Page.Clock-other.WrittenAt <= rows.Clock(lifetime) {
 			e.members = append(e.members, snapshot.Member{
-				VM: ident.VMID(row.Key), Address: other.Address, Domain: other.Domain, Region: other.Region,
+				VM: ident.VMID(row.Key), Address: other.Address, PeerAddress: other.Peer, Domain: other.Domain, Region: other.Region,
 			})
 		}
 	}
@@ -133,7 +134,7 @@
 	}
 	slices.SortFunc(e.members, func(a, b snapshot.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	value, err := json.Marshal(memberRow{
-		Address: e.self.Address, Domain: e.self.Domain, Region: e.self.Region, Process: e.process,
+		Address: e.self.Address, Peer: e.self.PeerAddress, Domain: e.self.Domain, Region: e.self.Region, Process: e.process,
 		Leaving: e.leaving, Ready: e.routed, WrittenAt: m.Page.Clock,
 	})
 	if err == nil {
--- /dev/null
+++ b/internal/escrow/escrow.go
@@ -0,0 +1,180 @@
+package escrow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const (
+	// defaultLimit bounds the wait for the store. Two answers of a store that
+	// is sixty times slower than usual (4 ms) fit.
+	defaultLimit = 900 * time.Millisecond
+	// retryPause spaces tries after a refusal of the store.
+	retryPause = 40 * time.Millisecond
+	// retryDelay is what callers are told when the store can't be reached.
+	retryDelay = 1500 * time.Millisecond
+	// partTurns is the number of turns of the largest size in a part. Most
+	// turns use a quarter of that, so that a part serves about 16 turns.
+	partTurns = 4
+	// partShare is the largest share of the rest of a budget in one part, so
+	// that VMs of other failure domains find some.
+	partShare = 2
+)
+
+// Request asks for the tokens of a turn.
+type Request struct {
+	Program ident.ProgramID `json:"program"`
+	// Budget is that of the whole program.
+	Budget  unit.Tokens `json:"budget"`
+	Largest unit.Tokens `json:"largest"`
+}
+
+// Grant is the permission for one turn.
+type Grant struct {
+	ID      string          `json:"id"`
+	Program ident.ProgramID `json:"program"`
+	Largest unit.Tokens     `json:"largest"`
+}
+
+// part is a part of a budget that this VM holds.
+type part struct {
+	id      string
+	program ident.ProgramID
+	version rows.Version
+	amount  unit.Tokens
+	// left is what can still be granted, used what callers received.
+	left, used unit.Tokens
+	open       int
+	touched    time.Time
+}
+
+// openGrant is a grant that was not returned yet.
+type openGrant struct {
+	part    *part
+	largest unit.Tokens
+	at      time.Time
+}
+
+// fetch is a transaction under way that takes a part of a program's budget.
+type fetch struct {
+	done chan struct{}
+	err  error
+}
+
+// Escrow holds parts of budgets. It may be used by several goroutines.
+type Escrow struct {
+	store  rows.Store
+	timers *timer.Service
+	limit  time.Duration
+	report func(error)
+
+	mu      sync.Mutex
+	parts   map[ident.ProgramID][]*part
+	grants  map[string]openGrant
+	fetches map[ident.ProgramID]*fetch
+}
+
+// Option changes how New builds an Escrow.
+type Option func(*Escrow)
+
+// WithLimit sets how long a turn may wait for the store.
+func WithLimit(limit time.Duration) Option {
+	return func(e *Escrow) { e.limit = limit }
+}
+
+// WithReport sets what is told of parts that could not be settled.
+func WithReport(report func(error)) Option {
+	return func(e *Escrow) { e.report = report }
+}
+
+// New returns an escrow on a store. It settles idle parts until the context
+// ends.
+func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Escrow {
+	e := &Escrow{
+		store: store, timers: timers, limit: defaultLimit, report: func(error) {},
+		parts: map[ident.ProgramID][]*part{}, grants: map[string]openGrant{}, fetches: map[ident.ProgramID]*fetch{},
+	}
+	for _, option := range options {
+		option(e)
+	}
+	go e.settleIdle(ctx)
+	return e
+}
+
+// Take grants a turn. Errors are refusals: the turn did not run.
+func (e *Escrow) Take(ctx context.Context, r Request) (Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.limit)
+	defer cancel()
+	for {
+		grant, wait := e.tryTake(r)
+		if wait == nil {
+			return grant, nil
+		}
+		if wait.owned {
+			e.run(ctx, r, wait.fetch)
+		}
+		select {
+		case <-wait.fetch.done:
+		case <-ctx.Done():
+			return Grant{}, unavailable(ctx.Err())
+		}
+		if wait.fetch.err != nil {
+			return Grant{}, wait.fetch.err
+		}
+	}
+}
+
+func unavailable(err error) *failure.Error {
+	return failure.Refusal(failure.PlatformUnavailable, retryDelay, "the turn's budget could not be reserved: %v; repeat the request", err)
+}
+
+// pending is a fetch that a turn waits for; the turn that started it owns it.
+type pending struct {
+	fetch *fetch
+	owned bool
+}
+
+// tryTake grants a turn from a part that is held. Otherwise it returns the fetch
+// to wait for.
+func (e *Escrow) tryTake(r Request) (Grant, *pending) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.parts[r.Program] {
+		if p.left >= r.Largest {
+			p.left -= r.Largest
+			p.open++
+			p.touched = e.timers.Now()
+			grant := Grant{ID: uuid.NewString(), Program: r.Program, Largest: r.Largest}
+			e.grants[grant.ID] = openGrant{part: p, largest: r.Largest, at: p.touched}
+			return grant, nil
+		}
+	}
+	if running, ok := e.fetches[r.Program]; ok {
+		return Grant{}, &pending{fetch: running}
+	}
+	started := &fetch{done: make(chan struct{})}
+	e.fetches[r.Program] = started
+	return Grant{}, &pending{fetch: started, owned: true}
+}
+
+// run carries a fetch out.
+func (e *Escrow) run(ctx context.Context, r Request, f *fetch) {
+	p, err := e.takePart(ctx, r)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f.err = err
+	if err == nil {
+		e.parts[r.Program] = append(e.parts[r.Program], p)
+	}
+	delete(e.fetches, r.Program)
+	close(f.done)
+}
--- /dev/null
+++ b/internal/escrow/escrow_test.go
@@ -0,0 +1,218 @@
+package escrow_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const budget unit.Tokens = 160
+
+// hooked is a store that does something between the reads and the next
+// transaction of one VM.
+type hooked struct {
+	rows.Store
+	before func()
+}
+
+func (h *hooked) Commit(ctx context.Context, t rows.Transaction) (rows.Outcome, error) {
+	if before := h.before; before != nil {
+		h.before = nil
+		before()
+	}
+	return h.Store.Commit(ctx, t)
+}
+
+// open is a turn that runs.
+type open struct {
+	vm    *escrow.Escrow
+	grant escrow.Grant
+}
+
+// world has VMs on one store, and an oracle of what callers received.
+type world struct {
+	t       *rapid.T
+	g       *WithT
+	keeper  *rowkeeper.Rowkeeper
+	first   *hooked
+	vms     []*escrow.Escrow
+	stop    []context.CancelFunc
+	open    []open
+	handed  unit.Tokens
+	largest unit.Tokens
+}
+
+func (w *world) start(store rows.Store) *escrow.Escrow {
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = append(w.stop, stop)
+	return escrow.New(ctx, store, timer.New(), escrow.WithLimit(90*time.Millisecond))
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, g: NewWithT(t), keeper: rowkeeper.New()}
+	w.first = &hooked{Store: w.keeper}
+	w.vms = []*escrow.Escrow{w.start(w.first), w.start(w.keeper)}
+	return w
+}
+
+func (w *world) faults() {
+	left := rapid.IntRange(0, 2).Draw(w.t, "faulty calls")
+	fault := rapid.SampledFrom([]rowkeeper.Fault{rowkeeper.Refuse{}, rowkeeper.LoseAnswer{}, rowkeeper.ApplyLate{}}).Draw(w.t, "fault")
+	w.keeper.Inject(func(bool) rowkeeper.Fault {
+		if left == 0 {
+			return nil
+		}
+		left--
+		return fault
+	})
+}
+
+func (w *world) vm() *escrow.Escrow {
+	return w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(w.t, "vm")]
+}
+
+func (w *world) take(vm *escrow.Escrow) {
+	r := escrow.Request{Program: "program", Budget: budget, Largest: unit.Tokens(rapid.IntRange(1, 50).Draw(w.t, "largest"))}
+	grant, err := vm.Take(context.Background(), r)
+	if err != nil {
+		w.g.Expect(failure.From(err).NotRun).To(BeTrue(), "a turn without a grant does not run")
+		return
+	}
+	w.largest = max(w.largest, r.Largest)
+	w.open = append(w.open, open{vm: vm, grant: grant})
+}
+
+// race lets the second VM take between the reads and the transaction of the
+// first.
+func (w *world) race() {
+	w.first.before = func() { w.take(w.vms[1]) }
+	w.take(w.vms[0])
+	w.first.before = nil
+}
+
+func (w *world) finish() {
+	if len(w.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.open)-1).Draw(w.t, "open")
+	o := w.open[i]
+	w.open = append(w.open[:i], w.open[i+1:]...)
+	used := unit.Tokens(rapid.IntRange(0, int(o.grant.Largest)).Draw(w.t, "used"))
+	w.handed += used
+	o.vm.Return(o.grant, used)
+}
+
+// spend runs turns one after the other until the budget refuses one, with a
+// settlement after each.
+func (w *world) spend() {
+	vm := w.vm()
+	w.keeper.Inject(func(bool) rowkeeper.Fault { return nil })
+	for range rapid.IntRange(1, 10).Draw(w.t, "turns") {
+		before := len(w.open)
+		w.take(vm)
+		if len(w.open) == before {
+			return
+		}
+		w.finish()
+		vm.Flush(context.Background())
+	}
+}
+
+// restart replaces a VM whose memory is lost. Turns that it granted go on.
+func (w *world) restart() {
+	i := rapid.IntRange(0, len(w.vms)-1).Draw(w.t, "vm")
+	w.stop[i]()
+	store := rows.Store(w.keeper)
+	if i == 0 {
+		store = w.first
+	}
+	w.vms[i] = w.start(store)
+}
+
+// Guards against a budget that VMs overspend together when they race, stop and
+// start again, or when answers of the store are refused, lost or take effect
+// late.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		defer func() {
+			for _, stop := range w.stop {
+				stop()
+			}
+		}()
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(*rapid.T) {
+				w.faults()
+				w.take(w.vm())
+			},
+			"spend":   func(*rapid.T) { w.spend() },
+			"race":    func(*rapid.T) { w.race() },
+			"finish":  func(*rapid.T) { w.finish() },
+			"restart": func(*rapid.T) { w.restart() },
+			"settle":  func(*rapid.T) { w.vm().Flush(context.Background()) },
+			"late":    func(*rapid.T) { w.keeper.Settle() },
+			"": func(*rapid.T) {
+				running := unit.Tokens(0)
+				for _, o := range w.open {
+					running += o.grant.Largest
+				}
+				w.g.Expect(w.handed + running).To(BeNumerically("<=", budget+w.largest))
+			},
+		})
+	})
+}
+
+// Guards against a budget that stays spent although its turns used little of it,
+// also if the answer to the settlement is lost.
+func TestSettledPartsAreFree(t *testing.T) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	keeper := rowkeeper.New()
+	a, b := escrow.New(ctx, keeper, timer.New()), escrow.New(ctx, keeper, timer.New())
+	r := escrow.Request{Program: "program", Budget: 100, Largest: 60}
+	grant, err := a.Take(ctx, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = b.Take(ctx, r)
+	g.Expect(failure.Is(err, failure.BudgetExhausted)).To(BeTrue())
+	a.Return(grant, 10)
+	lost := false
+	keeper.Inject(func(write bool) rowkeeper.Fault {
+		if write && !lost {
+			lost = true
+			return rowkeeper.LoseAnswer{}
+		}
+		return nil
+	})
+	a.Flush(ctx)
+	_, err = b.Take(ctx, r)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// Guards against a transaction for each turn: the turns of a program that meet at
+// one VM share a part of its budget.
+func TestTurnsShareAPart(t *testing.T) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	keeper := rowkeeper.New()
+	e := escrow.New(ctx, keeper, timer.New())
+	for range 8 {
+		grant, err := e.Take(ctx, escrow.Request{Program: "program", Budget: 1700, Largest: 136})
+		g.Expect(err).NotTo(HaveOccurred())
+		e.Return(grant, 34)
+	}
+	commits, reads := keeper.Calls()
+	g.Expect(commits).To(Equal(1))
+	g.Expect(reads).To(Equal(0))
+}
--- /dev/null
+++ b/internal/escrow/rows.go
@@ -0,0 +1,94 @@
+package escrow
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/unit"
+)
+
+const (
+	budgetsTable rows.Table = "budgets"
+	// budgetKey is the row that every transaction on a program's budget
+	// replaces or names.
+	budgetKey  rows.Key = "budget"
+	partPrefix          = "part/"
+)
+
+// budgetRow is the sum of all parts that were taken from a budget.
+type budgetRow struct {
+	Taken unit.Tokens `json:"taken"`
+}
+
+// partRow is a part of a budget that a VM took.
+type partRow struct {
+	Amount unit.Tokens `json:"amount"`
+	// Used is what callers received, if the part is settled.
+	Used    unit.Tokens `json:"used"`
+	Settled bool        `json:"settled"`
+}
+
+func budgetID(p ident.ProgramID) rows.ID {
+	return rows.ID{Table: budgetsTable, Part: rows.Part(p), Key: budgetKey}
+}
+
+func partID(p ident.ProgramID, part string) rows.ID {
+	return rows.ID{Table: budgetsTable, Part: rows.Part(p), Key: rows.Key(partPrefix + part)}
+}
+
+func put(id rows.ID, value any) (rows.Put, error) {
+	encoded, err := json.Marshal(value)
+	return rows.Put{ID: id, Value: encoded}, errors.Annotatef(err, "encode row %s of program %s", id.Key, id.Part)
+}
+
+func decode(row rows.Row, into any) error {
+	return errors.Annotatef(json.Unmarshal(row.Value, into), "row %s of program %s can't be read", row.Key, row.Part)
+}
+
+// account is what a program's rows say of its budget.
+type account struct {
+	// taken is the sum of all parts, refunded what settled parts did not use.
+	taken, refunded unit.Tokens
+	// version is that of the budget row, 0 if there is none.
+	version rows.Version
+	// whole is set if all rows were read at this version. Otherwise parts may
+	// have been settled that refunded does not have.
+	whole bool
+}
+
+// spent is what counts against the budget.
+func (a account) spent() unit.Tokens { return a.taken - a.refunded }
+
+// newAccount returns the account of all rows of a program.
+func newAccount(page rows.Page) (account, error) {
+	a := account{whole: true}
+	for _, row := range page.Rows {
+		switch {
+		case row.Key == budgetKey:
+			if err := a.setBudget(row); err != nil {
+				return a, err
+			}
+		case strings.HasPrefix(string(row.Key), partPrefix):
+			var p partRow
+			if err := decode(row, &p); err != nil {
+				return a, err
+			}
+			if p.Settled {
+				a.refunded += p.Amount - p.Used
+			}
+		}
+	}
+	return a, nil
+}
+
+// setBudget takes a version of the budget row over.
+func (a *account) setBudget(row rows.Row) error {
+	var budget budgetRow
+	err := decode(row, &budget)
+	a.taken, a.version = budget.Taken, row.Version
+	return err
+}
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -76,7 +76,7 @@
 	}
 	line.Int("refusals", t.Refusals).Int("events", t.Events).Dur("upstreams_age_ms", t.ViewAge)
 	if t.Reserved > 0 {
-		line.Dur("reserved_ms", t.Reserved)
+		line.Dur("reserved_ms", t.Reserved).Str("budget_holder", string(t.Holder))
 	}
 	if t.FirstEvent > 0 {
 		line.Dur("first_event_ms", t.FirstEvent)
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -6,9 +6,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/granter"
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
@@ -19,13 +23,15 @@
 
 // Turnrecorder reserves and stores turns.
 type Turnrecorder struct {
-	ledger *ledger.Ledger
-	timers *timer.Service
+	granter *granter.Granter
+	ledger  *ledger.Ledger
+	timers  *timer.Service
+	domain  ident.Domain
 }
 
-// New returns the filter on a ledger.
-func New(l *ledger.Ledger, timers *timer.Service) *Turnrecorder {
-	return &Turnrecorder{ledger: l, timers: timers}
+// New returns the filter of a VM in a failure domain.
+func New(domain ident.Domain, g *granter.Granter, l *ledger.Ledger, timers *timer.Service) *Turnrecorder {
+	return &Turnrecorder{granter: g, ledger: l, timers: timers, domain: domain}
 }
 
 // Serve passes requests that are no turns.
@@ -35,34 +41,54 @@
 	if !isStream || program == nil || program.Budget <= 0 || x.Request.Prompt == nil {
 		return next(ctx, x)
 	}
-	turn := ledger.Turn{
-		Program:  program.ID,
-		Turn:     x.Request.ID,
-		Budget:   program.Budget,
-		Largest:  x.Request.Prompt.Output,
-		Retained: stream.Retained,
-	}
+	turn := ledger.Turn{Program: program.ID, Turn: x.Request.ID}
 	if stream.Retained {
 		turn.Previous = program.Previous
 	}
-	reservation, err := t.ledger.Reserve(ctx, turn)
+	grant, history, err := t.prepare(ctx, x, turn)
 	x.Trace.Reserved = t.timers.Now().Sub(x.Arrived)
 	if err != nil {
 		return err
 	}
-	x.Body = append(reservation.History, x.Request.Body...)
+	x.Trace.Holder = grant.Holder
+	x.Body = slices.Concat(history, x.Request.Body)
 	recorder := &recorder{
 		Responder: x.Responder, ctx: ctx, exchange: x, ledger: t.ledger, timers: t.timers,
-		reservation: reservation, perEvent: eventTokens(x), retained: stream.Retained,
+		turn: turn, perEvent: eventTokens(x), retained: stream.Retained,
 	}
 	x.Responder = recorder
 	err = next(ctx, x)
-	if !recorder.kept {
-		t.ledger.Settle(reservation, recorder.used())
-	}
+	grant.Return(recorder.used())
 	return err
 }
 
+// prepare reserves the turn's tokens and reads its history at the same time.
+func (t *Turnrecorder) prepare(ctx context.Context, x *traffic.Exchange, turn ledger.Turn) (granter.Grant, []byte, error) {
+	var history []byte
+	read := make(chan error, 1)
+	if turn.Previous == "" {
+		read <- nil
+	} else {
+		go func() {
+			var err error
+			history, err = t.ledger.History(ctx, turn)
+			read <- err
+		}()
+	}
+	grant, err := t.granter.Take(ctx, t.domain, escrow.Request{
+		Program: turn.Program, Budget: x.Request.Program.Budget, Largest: x.Request.Prompt.Output,
+	})
+	unread := <-read
+	if err != nil {
+		return granter.Grant{}, nil, err
+	}
+	if unread != nil {
+		grant.Return(0)
+		return granter.Grant{}, nil, unread
+	}
+	return grant, history, nil
+}
+
 // eventTokens is the number of tokens in an event of the exchange's pool.
 func eventTokens(x *traffic.Exchange) unit.Tokens {
 	if engine := x.Table.Pools[x.Pool].Engine; engine != nil && engine.EventTokens > 0 {
@@ -74,18 +100,17 @@
 // recorder takes down what the caller receives.
 type recorder struct {
 	traffic.Responder
-	ctx         context.Context
-	exchange    *traffic.Exchange
-	ledger      *ledger.Ledger
-	timers      *timer.Service
-	reservation *ledger.Reservation
-	perEvent    unit.Tokens
-	retained    bool
+	ctx      context.Context
+	exchange *traffic.Exchange
+	ledger   *ledger.Ledger
+	timers   *timer.Service
+	turn     ledger.Turn
+	perEvent unit.Tokens
+	retained bool
 
 	status int
 	events int
 	output []byte
-	kept   bool
 }
 
 func (r *recorder) used() unit.Tokens { return unit.Tokens(r.events) * r.perEvent }
@@ -113,11 +138,10 @@
 		return r.Responder.End()
 	}
 	started := r.timers.Now()
-	err := r.ledger.Keep(r.ctx, r.reservation, r.exchange.Request.Body, r.output, r.used())
+	err := r.ledger.Keep(r.ctx, r.turn, r.exchange.Request.Body, r.output)
 	r.exchange.Trace.Kept = max(r.timers.Now().Sub(started), time.Nanosecond)
 	if err != nil {
 		return failure.New(failure.NotDurable, "the turn could not be stored: %v; send it again", err)
 	}
-	r.kept = true
 	return r.Responder.End()
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,131 +2,90 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
-	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 const (
-	// defaultReserveLimit bounds the wait for a reservation. Two answers of a
-	// store that is sixty times slower than usual (4 ms) fit.
-	defaultReserveLimit = 900 * time.Millisecond
+	// defaultReadLimit bounds the wait for a history. Two answers of a store
+	// that is sixty times slower than usual (4 ms) fit.
+	defaultReadLimit = 900 * time.Millisecond
 	// defaultKeepLimit bounds the wait until a turn is stored. Callers give a
 	// stream up after 2 s without an event.
 	defaultKeepLimit = 1700 * time.Millisecond
-	// conflictPause spaces tries after a refusal of the store.
-	conflictPause = 25 * time.Millisecond
+	// retryPause spaces tries after a refusal of the store.
+	retryPause = 40 * time.Millisecond
 	// retryDelay is what callers are told when the store can't be reached.
-	retryDelay = time.Second
+	retryDelay = 1500 * time.Millisecond
 )
 
-// Turn is a turn that is to run.
+// Turn names a turn and the one that it continues.
 type Turn struct {
 	Program ident.ProgramID
 	Turn    ident.RequestID
 	// Previous is the turn that this one continues, empty for the first.
 	Previous ident.RequestID
-	Budget   unit.Tokens
-	Largest  unit.Tokens
-	// Retained turns are kept with their text.
-	Retained bool
 }
 
-// Reservation is the durable permission to run a turn.
-type Reservation struct {
-	Turn Turn
-	// History is the text of the turns that this one continues.
-	History []byte
-
-	previousProgram ident.ProgramID
-	version         rows.Version
-}
-
-// Ledger reserves, settles and keeps turns. It may be used by several
-// goroutines.
+// Ledger reads and stores turns. It may be used by several goroutines.
 type Ledger struct {
-	store        rows.Store
-	timers       *timer.Service
-	reserveLimit time.Duration
-	keepLimit    time.Duration
-	settlements  chan settlement
-	report       func(error)
+	store     rows.Store
+	timers    *timer.Service
+	readLimit time.Duration
+	keepLimit time.Duration
 }
 
 // Option changes how New builds a Ledger.
 type Option func(*Ledger)
 
-// WithLimits sets how long a reservation and the storing of a turn may take.
-func WithLimits(reserve, keep time.Duration) Option {
-	return func(l *Ledger) { l.reserveLimit, l.keepLimit = reserve, keep }
-}
-
-// WithReport sets what is told of settlements that were given up.
-func WithReport(report func(error)) Option {
-	return func(l *Ledger) { l.report = report }
+// WithLimits sets how long the reading of a history and the storing of a turn
+// may take.
+func WithLimits(read, keep time.Duration) Option {
+	return func(l *Ledger) { l.readLimit, l.keepLimit = read, keep }
 }
 
-// New returns a ledger on a store. It settles turns in the background until the
-// context ends.
-func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Ledger {
-	l := &Ledger{
-		store:        store,
-		timers:       timers,
-		reserveLimit: defaultReserveLimit,
-		keepLimit:    defaultKeepLimit,
-		settlements:  make(chan settlement, settlementQueue),
-		report:       func(error) {},
-	}
+// New returns a ledger on a store.
+func New(store rows.Store, timers *timer.Service, options ...Option) *Ledger {
+	l := &Ledger{store: store, timers: timers, readLimit: defaultReadLimit, keepLimit: defaultKeepLimit}
 	for _, option := range options {
 		option(l)
 	}
-	settler := &settler{ledger: l}
-	go settler.run(ctx)
 	return l
 }
 
-// Reserve makes room for a turn in its program's budget and reads its history.
-// Errors are refusals: the turn did not run, and the budget may count it until
-// the program ends.
-func (l *Ledger) Reserve(ctx context.Context, t Turn) (*Reservation, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.reserveLimit)
+// History returns the text of the turns that a turn continues, the oldest first.
+// Errors are refusals: of kind not_found if there is no such turn.
+func (l *Ledger) History(ctx context.Context, t Turn) ([]byte, error) {
+	if t.Previous == "" {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.readLimit)
 	defer cancel()
 	for {
-		reservation, err := l.tryReserve(ctx, t)
-		if err == nil && reservation != nil {
-			return reservation, nil
-		}
+		history, err := l.tryHistory(ctx, t)
 		var known *failure.Error
-		if errors.As(err, &known) {
-			return nil, known
+		if err == nil || errors.As(err, &known) {
+			return history, err
 		}
-		if !l.pause(ctx, err) {
+		if !l.pause(ctx) {
 			return nil, failure.Refusal(failure.PlatformUnavailable, retryDelay,
-				"the turn's budget could not be reserved: %v; repeat the request", reason(err))
+				"the turns before %s could not be read: %v; repeat the request", t.Turn, err)
 		}
 	}
 }
 
-// reason names a conflict, for which there is no error.
-func reason(err error) string {
-	if err == nil {
-		return "other turns of the program were reserved meanwhile"
-	}
-	return err.Error()
-}
-
 // pause waits before the next try and reports whether there is time for one.
-func (l *Ledger) pause(ctx context.Context, err error) bool {
-	if err == nil {
-		return ctx.Err() == nil
-	}
-	wait := l.timers.After(conflictPause)
+func (l *Ledger) pause(ctx context.Context) bool {
+	wait := l.timers.After(retryPause)
 	defer wait.Cancel()
 	select {
 	case <-wait.C:
@@ -136,95 +95,38 @@
 	}
 }
 
-// tryReserve returns nil without an error if another turn was faster.
-func (l *Ledger) tryReserve(ctx context.Context, t Turn) (*Reservation, error) {
-	page, err := l.store.Read(ctx, rows.Range{Table: programsTable, Part: programPart(t.Program)})
-	if err != nil {
-		return nil, err
-	}
-	a, err := newAccount(t.Program, page)
-	if err != nil {
-		return nil, err
-	}
-	reservation := &Reservation{Turn: t}
-	if t.Previous != "" {
-		if err := l.readHistory(ctx, a, reservation); err != nil {
-			return nil, err
-		}
-	}
-	if own, ok := a.turns[t.Turn]; ok {
-		reservation.version = own.version
-		return reservation, nil
-	}
-	if spent := a.spent(); spent+t.Largest > t.Budget {
-		return nil, failure.Refusal(failure.BudgetExhausted, 0,
-			"program %s has spent or reserved %d of %d tokens and the turn needs up to %d; end the program or give it a larger budget",
-			t.Program, spent, t.Budget, t.Largest)
-	}
-	budget, err := put(budgetID(t.Program), budgetRow{Reserved: a.budget.Reserved + t.Largest})
+// tryHistory follows the turns before a turn to the first one.
+func (l *Ledger) tryHistory(ctx context.Context, t Turn) ([]byte, error) {
+	a, err := l.read(ctx, t.Program)
 	if err != nil {
 		return nil, err
 	}
-	turn, err := put(turnID(t.Program, t.Turn), reservation.row())
-	if err != nil {
-		return nil, err
-	}
-	outcome, err := l.store.Commit(ctx, rows.Transaction{
-		Conditions: []rows.Condition{{ID: budget.ID, Version: a.version}, {ID: turn.ID}},
-		Puts:       []rows.Put{budget, turn},
-	})
-	if err != nil {
-		return nil, err
-	}
-	switch outcome := outcome.(type) {
-	case rows.Committed:
-		reservation.version = outcome.Version
-		return reservation, nil
-	case rows.Conflict:
-		if own, ok := rows.Find(outcome.Rows, turn.ID); ok {
-			// The answer to an earlier try was lost.
-			reservation.version = own.Version
-			return reservation, nil
-		}
-	}
-	return nil, nil
-}
-
-// row is the turn's row as it is reserved.
-func (r *Reservation) row() turnRow {
-	return turnRow{Largest: r.Turn.Largest, Previous: r.Turn.Previous, PreviousProgram: r.previousProgram}
-}
-
-// readHistory follows the turns before a turn to the first one.
-func (l *Ledger) readHistory(ctx context.Context, a *account, r *Reservation) error {
 	var texts [][]byte
-	previous := r.Turn.Previous
-	for previous != "" {
+	for previous := t.Previous; previous != ""; {
 		turn, ok := a.turns[previous]
 		if !ok {
-			other, err := l.findProgram(ctx, previous)
-			if err != nil {
-				return err
+			if a, err = l.findProgram(ctx, previous); err != nil {
+				return nil, err
 			}
-			a, turn = other, other.turns[previous]
-		}
-		if !turn.Complete {
-			return failure.Refusal(failure.NotDurable, retryDelay, "turn %s is not stored whole; repeat the request", previous)
-		}
-		if r.previousProgram == "" {
-			r.previousProgram = a.program
+			turn = a.turns[previous]
 		}
 		text, err := a.text(previous)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		texts = append(texts, text)
 		previous = turn.Previous
 	}
-	for i := len(texts) - 1; i >= 0; i-- {
-		r.History = append(r.History, texts[i]...)
+	slices.Reverse(texts)
+	return slices.Concat(texts...), nil
+}
+
+func (l *Ledger) read(ctx context.Context, p ident.ProgramID) (*account, error) {
+	page, err := l.store.Read(ctx, rows.Range{Table: turnsTable, Part: rows.Part(p)})
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	return newAccount(p, page)
 }
 
 // findProgram returns the account of the program that a turn belongs to.
@@ -237,10 +139,71 @@
 	if !ok {
 		return nil, failure.Refusal(failure.NotFound, 0, "there is no turn %s, or its retention is over; start a new line of turns", t)
 	}
-	program := ident.ProgramID(row.Value)
-	page, err := l.store.Read(ctx, rows.Range{Table: programsTable, Part: programPart(program)})
+	a, err := l.read(ctx, ident.ProgramID(row.Value))
 	if err != nil {
 		return nil, err
 	}
-	return newAccount(program, page)
+	if _, ok := a.turns[t]; !ok {
+		return nil, errors.Errorf("turn %s is missing in program %s", t, a.program)
+	}
+	return a, nil
+}
+
+// Keep stores a turn that was answered whole. Once it returns nil, every VM can
+// continue the turn. After an error the turn may or may not be stored.
+func (l *Ledger) Keep(ctx context.Context, t Turn, input, output []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, l.keepLimit)
+	defer cancel()
+	write := uuid.NewString()
+	transaction, err := keeping(t, slices.Concat(input, output), write)
+	if err != nil {
+		return err
+	}
+	for {
+		outcome, err := l.store.Commit(ctx, transaction)
+		if err == nil {
+			return kept(outcome, turnID(t.Program, t.Turn), write)
+		}
+		if !l.pause(ctx) {
+			return errors.Annotatef(err, "turn %s was not stored", t.Turn)
+		}
+	}
+}
+
+// kept finds out whether the turn's row is that of the write, which it is after
+// a lost answer.
+func kept(outcome rows.Outcome, own rows.ID, write string) error {
+	conflict, ok := outcome.(rows.Conflict)
+	if !ok {
+		return nil
+	}
+	row, ok := rows.Find(conflict.Rows, own)
+	if !ok {
+		return errors.Errorf("row %s of program %s is gone", own.Key, own.Part)
+	}
+	var turn turnRow
+	if err := decode(row, &turn); err != nil {
+		return err
+	}
+	if turn.Write != write {
+		return errors.Errorf("row %s of program %s was written by another request", own.Key, own.Part)
+	}
+	return nil
+}
+
+// keeping is the transaction that stores a turn and its place in the index.
+func keeping(t Turn, text []byte, write string) (rows.Transaction, error) {
+	row := turnRow{Previous: t.Previous, Write: write}
+	var puts []rows.Put
+	for chunk := range slices.Chunk(text, textChunk) {
+		puts = append(puts, rows.Put{ID: textID(t.Program, t.Turn, row.Chunks), Value: chunk})
+		row.Chunks++
+	}
+	encoded, err := json.Marshal(row)
+	if err != nil {
+		return rows.Transaction{}, errors.Annotatef(err, "encode turn %s", t.Turn)
+	}
+	own := turnID(t.Program, t.Turn)
+	puts = append(puts, rows.Put{ID: own, Value: encoded}, rows.Put{ID: indexID(t.Turn), Value: []byte(t.Program)})
+	return rows.Transaction{Conditions: []rows.Condition{{ID: own}}, Puts: puts}, nil
 }
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -27,6 +27,8 @@
 type Member struct {
 	VM      ident.VMID
 	Address string
-	Domain  ident.Domain
-	Region  ident.Region
+	// PeerAddress is where other entry VMs connect.
+	PeerAddress string
+	Domain      ident.Domain
+	Region      ident.Region
 }
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -90,6 +90,8 @@
 	// Failures are the reasons of attempts that failed.
 	Failures []string
 	Events   int
+	// Holder is the VM that granted the turn.
+	Holder ident.VMID
 	// Reserved is how long it took to reserve budget and read the history.
 	Reserved time.Duration
 	// Kept is how long it took to store the turn.
