escrow: one part a program, which grows with its turns

Ruled out: smaller parts alone, which strand what is left of each. The test of shared parts asks for at most one transaction for two turns, what the store leaves at 600 turns a second, in place of the single one that the larger parts needed.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -22,12 +22,12 @@
 	retryPause = 40 * time.Millisecond
 	// retryDelay is what callers are told when the store can't be reached.
 	retryDelay = 1500 * time.Millisecond
-	// partTurns is the number of turns of the largest size in a part. Most
-	// turns use a quarter of that, so that a part serves about 16 turns.
-	partTurns = 4
-	// partShare is the largest share of the rest of a budget in one part, so
-	// that VMs of other failure domains find some.
-	partShare = 2
+	// partTurns is the number of turns of the largest size by which a part
+	// grows at most. Most turns use a quarter of that.
+	partTurns = 2
+	// partShare is the part of the rest of a budget by which a part grows at
+	// most, unless a turn needs more. What a VM holds is lost with it.
+	partShare = 3
 )
 
 // Request asks for the tokens of a turn.
@@ -64,8 +64,11 @@
 	at      time.Time
 }
 
-// fetch is a transaction under way that takes a part of a program's budget.
+// fetch is a transaction under way that takes a part of a program's budget, or
+// makes the part larger that is held.
 type fetch struct {
+	// part is the part as it was when the fetch began.
+	part part
 	done chan struct{}
 	err  error
 }
@@ -78,7 +81,7 @@
 	report func(error)
 
 	mu      sync.Mutex
-	parts   map[ident.ProgramID][]*part
+	parts   map[ident.ProgramID]*part
 	grants  map[string]openGrant
 	fetches map[ident.ProgramID]*fetch
 }
@@ -101,7 +104,7 @@
 func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Escrow {
 	e := &Escrow{
 		store: store, timers: timers, limit: defaultLimit, report: func(error) {},
-		parts: map[ident.ProgramID][]*part{}, grants: map[string]openGrant{}, fetches: map[ident.ProgramID]*fetch{},
+		parts: map[ident.ProgramID]*part{}, grants: map[string]openGrant{}, fetches: map[ident.ProgramID]*fetch{},
 	}
 	for _, option := range options {
 		option(e)
@@ -148,32 +151,40 @@
 func (e *Escrow) tryTake(r Request) (Grant, *pending) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range e.parts[r.Program] {
-		if p.left >= r.Largest {
-			p.left -= r.Largest
-			p.open++
-			p.touched = e.timers.Now()
-			grant := Grant{ID: uuid.NewString(), Program: r.Program, Largest: r.Largest}
-			e.grants[grant.ID] = openGrant{part: p, largest: r.Largest, at: p.touched}
-			return grant, nil
-		}
+	p := e.parts[r.Program]
+	if p != nil && p.left >= r.Largest {
+		p.left -= r.Largest
+		p.open++
+		p.touched = e.timers.Now()
+		grant := Grant{ID: uuid.NewString(), Program: r.Program, Largest: r.Largest}
+		e.grants[grant.ID] = openGrant{part: p, largest: r.Largest, at: p.touched}
+		return grant, nil
 	}
 	if running, ok := e.fetches[r.Program]; ok {
 		return Grant{}, &pending{fetch: running}
 	}
-	started := &fetch{done: make(chan struct{})}
+	started := &fetch{done: make(chan struct{}), part: part{id: uuid.NewString(), program: r.Program}}
+	if p != nil {
+		started.part = *p
+	}
 	e.fetches[r.Program] = started
 	return Grant{}, &pending{fetch: started, owned: true}
 }
 
 // run carries a fetch out.
 func (e *Escrow) run(ctx context.Context, r Request, f *fetch) {
-	p, err := e.takePart(ctx, r)
+	grown, err := e.grow(ctx, r, f.part)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f.err = err
 	if err == nil {
-		e.parts[r.Program] = append(e.parts[r.Program], p)
+		p := e.parts[r.Program]
+		if p == nil {
+			p = &part{id: grown.id, program: r.Program}
+			e.parts[r.Program] = p
+		}
+		p.left += grown.amount - p.amount
+		p.amount, p.version, p.touched = grown.amount, grown.version, e.timers.Now()
 	}
 	delete(e.fetches, r.Program)
 	close(f.done)
--- a/internal/escrow/settle.go
+++ b/internal/escrow/settle.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
@@ -83,28 +82,15 @@
 		}
 	}
 	var taken []*part
-	for program, held := range e.parts {
-		var kept []*part
-		for _, p := range held {
-			if p.open == 0 && now.Sub(p.touched) >= idle {
-				taken = append(taken, p)
-				continue
-			}
-			kept = append(kept, p)
+	for program, p := range e.parts {
+		if _, growing := e.fetches[program]; !growing && p.open == 0 && now.Sub(p.touched) >= idle {
+			taken = append(taken, p)
+			delete(e.parts, program)
 		}
-		e.set(program, kept)
 	}
 	return taken
 }
 
-func (e *Escrow) set(program ident.ProgramID, held []*part) {
-	if len(held) == 0 {
-		delete(e.parts, program)
-		return
-	}
-	e.parts[program] = held
-}
-
 // settle writes what was used of parts, several in one transaction.
 func (e *Escrow) settle(ctx context.Context, parts []*part) {
 	for len(parts) > 0 {
@@ -116,8 +102,8 @@
 	}
 }
 
-// settleSome tries until the parts are settled. A part whose row has another
-// version was settled by an earlier try whose answer was lost.
+// settleSome tries until the parts are settled. A part may have been settled by
+// an earlier try whose answer was lost.
 func (e *Escrow) settleSome(ctx context.Context, parts []*part) error {
 	var last error
 	for range settleTries {
@@ -127,8 +113,8 @@
 		}
 		outcome, err := e.store.Commit(ctx, t)
 		if conflict, ok := outcome.(rows.Conflict); ok && err == nil {
-			if parts = unsettled(parts, conflict); len(parts) == 0 {
-				return nil
+			if parts, err = unsettled(parts, conflict); err != nil || len(parts) == 0 {
+				return err
 			}
 			continue
 		}
@@ -160,14 +146,23 @@
 	return t, nil
 }
 
-// unsettled returns the parts whose rows are as they were taken.
-func unsettled(parts []*part, conflict rows.Conflict) []*part {
+// unsettled returns the parts whose rows are not settled. A row may have grown by
+// a transaction whose answer was lost.
+func unsettled(parts []*part, conflict rows.Conflict) ([]*part, error) {
 	var left []*part
 	for _, p := range parts {
 		row, ok := rows.Find(conflict.Rows, partID(p.program, p.id))
-		if ok && row.Version == p.version {
+		if !ok {
+			continue
+		}
+		var stored partRow
+		if err := decode(row, &stored); err != nil {
+			return nil, err
+		}
+		if !stored.Settled {
+			p.amount, p.version = stored.Amount, row.Version
 			left = append(left, p)
 		}
 	}
-	return left
+	return left, nil
 }
--- a/internal/escrow/take.go
+++ b/internal/escrow/take.go
@@ -3,23 +3,22 @@
 import (
 	"context"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 )
 
-// takePart takes a part of a program's budget out of the store. It first assumes
-// that the program is new; a conflict then tells what was taken so far, and only
-// a budget that seems to be spent makes it read all rows.
-func (e *Escrow) takePart(ctx context.Context, r Request) (*part, error) {
-	id := uuid.NewString()
+// grow takes enough of a program's budget out of the store for a turn and adds it
+// to a part. For a new part it first assumes that the program is new; a conflict
+// then tells what was taken so far, and only a budget that seems to be spent
+// makes it read all rows.
+func (e *Escrow) grow(ctx context.Context, r Request, p part) (part, error) {
 	var a account
 	for {
-		if a.spent()+r.Largest > r.Budget {
+		if a.spent()+r.Largest-p.left > r.Budget {
 			if a.whole || r.Largest > r.Budget {
-				return nil, failure.Refusal(failure.BudgetExhausted, 0,
+				return p, failure.Refusal(failure.BudgetExhausted, 0,
 					"program %s has spent or reserved %d of %d tokens and the turn needs up to %d; end the program or give it a larger budget",
 					r.Program, a.spent(), r.Budget, r.Largest)
 			}
@@ -29,19 +28,19 @@
 				continue
 			}
 			if !e.pause(ctx) {
-				return nil, unavailable(err)
+				return p, unavailable(err)
 			}
 			continue
 		}
-		p, err := e.commitPart(ctx, r, id, &a)
-		if p != nil {
-			return p, nil
-		}
+		grown, err := e.commitPart(ctx, r, p, &a)
 		if err != nil && !e.pause(ctx) {
-			return nil, unavailable(err)
+			return p, unavailable(err)
+		}
+		if grown.version > p.version && grown.amount > p.amount {
+			return grown, nil
 		}
 		if ctx.Err() != nil {
-			return nil, unavailable(ctx.Err())
+			return p, unavailable(ctx.Err())
 		}
 	}
 }
@@ -54,48 +53,47 @@
 	return newAccount(page)
 }
 
-// commitPart tries to take a part. If the budget row has another version it
-// updates the account and returns nil. The part's own row tells whether an
-// earlier try was applied whose answer was lost.
-func (e *Escrow) commitPart(ctx context.Context, r Request, id string, a *account) (*part, error) {
-	amount := max(r.Largest, min(partTurns*r.Largest, (r.Budget-a.spent())/partShare))
-	budget, err := put(budgetID(r.Program), budgetRow{Taken: a.taken + amount})
+// commitPart tries to make a part larger. If the budget row has another version
+// it updates the account and returns the part as it is. The part's own row tells
+// whether an earlier try was applied whose answer was lost: no other VM writes
+// it.
+func (e *Escrow) commitPart(ctx context.Context, r Request, p part, a *account) (part, error) {
+	more := max(r.Largest-p.left, min(partTurns*r.Largest, (r.Budget-a.spent())/partShare))
+	budget, err := put(budgetID(r.Program), budgetRow{Taken: a.taken + more})
 	if err != nil {
-		return nil, err
+		return p, err
 	}
-	row, err := put(partID(r.Program, id), partRow{Amount: amount})
+	row, err := put(partID(r.Program, p.id), partRow{Amount: p.amount + more})
 	if err != nil {
-		return nil, err
+		return p, err
 	}
 	outcome, err := e.store.Commit(ctx, rows.Transaction{
-		Conditions: []rows.Condition{{ID: budget.ID, Version: a.version}, {ID: row.ID}},
+		Conditions: []rows.Condition{{ID: budget.ID, Version: a.version}, {ID: row.ID, Version: p.version}},
 		Puts:       []rows.Put{budget, row},
 	})
 	if err != nil {
-		return nil, err
+		return p, err
 	}
-	p := &part{id: id, program: r.Program, amount: amount, left: amount, touched: e.timers.Now()}
 	switch o := outcome.(type) {
 	case rows.Committed:
-		p.version = o.Version
+		p.amount, p.version = p.amount+more, o.Version
 		return p, nil
 	case rows.Conflict:
-		if own, ok := rows.Find(o.Rows, row.ID); ok {
+		own, ok := rows.Find(o.Rows, row.ID)
+		if ok && own.Version != p.version {
 			var stored partRow
-			if err := decode(own, &stored); err != nil {
-				return nil, err
-			}
-			p.version, p.amount, p.left = own.Version, stored.Amount, stored.Amount
-			return p, nil
+			err := decode(own, &stored)
+			p.amount, p.version = stored.Amount, own.Version
+			return p, err
 		}
 		a.whole = false
 		if current, ok := rows.Find(o.Rows, budget.ID); ok {
-			return nil, a.setBudget(current)
+			return p, a.setBudget(current)
 		}
 		*a = account{}
-		return nil, nil
+		return p, nil
 	}
-	return nil, errors.Errorf("unexpected outcome %T of a transaction", outcome)
+	return p, errors.Errorf("unexpected outcome %T of a transaction", outcome)
 }
 
 // pause waits before the next try and reports whether there is time for one.
