--- /dev/null
+++ b/internal/enroller/enroller_test.go
@@ -0,0 +1,125 @@
+package enroller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+)
+
+const table rows.Table = "entry_vms"
+
+// row is the row of a VM, written as name:state:age.
+func row(text string, clock time.Duration) rows.Row {
+	fields := strings.Split(text, ":")
+	age, err := time.ParseDuration(fields[2])
+	if err != nil {
+		panic(err)
+	}
+	value, err := json.Marshal(map[string]any{
+		"address": fields[0] + ":1", "domain": "d1", "region": "r1",
+		"ready": fields[1] != "starting", "leaving": fields[1] == "leaving", "written_at": clock - age,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return rows.Row{ID: rows.ID{Table: table, Key: rows.Key(fields[0])}, Value: value, Version: 4}
+}
+
+// decider keeps the controller from line to line.
+func decider() func(line string) string {
+	e := enroller.New(snapshot.Member{VM: "self", Address: "self:1", Domain: "d1", Region: "r1"}, "process")
+	now, clock := time.Unix(0, 0), time.Hour
+	e.Handle(now, message.Started{})
+	return func(line string) string {
+		f := goldentest.Parse(line)
+		now, clock = now.Add(f.Duration("after")), clock+f.Duration("after")
+		var effects []effect.Effect
+		switch {
+		case f.Has("tick"):
+			effects = e.Handle(now, message.Tick{})
+		case f.Has("routes"):
+			effects = e.Handle(now, message.RoutesChanged{})
+		case f.Has("shutdown"):
+			effects = e.Handle(now, message.ShutdownRequested{})
+		default:
+			m := message.RowsRead{Range: rows.Range{Table: table}, SentAt: now, Page: rows.Page{Clock: rows.Clock(clock)}}
+			if f.Has("fails") {
+				m.Err = rows.ErrUnknown
+			}
+			for _, text := range strings.Split(f["rows"], ",") {
+				if text != "" {
+					m.Page.Rows = append(m.Page.Rows, row(text, clock))
+				}
+			}
+			effects = e.Handle(now, m)
+		}
+		view := &snapshot.Snapshot{}
+		e.Describe(view)
+		var members []string
+		for _, m := range view.Entry.Members {
+			members = append(members, string(m.VM))
+		}
+		return fmt.Sprintf("members=%s %s", strings.Join(members, ","), describe(now, effects))
+	}
+}
+
+func describe(now time.Time, effects []effect.Effect) string {
+	var out strings.Builder
+	for _, e := range effects {
+		switch e := e.(type) {
+		case effect.ReadRows:
+			out.WriteString("read ")
+		case effect.WakeAt:
+			fmt.Fprintf(&out, "wake=%s ", e.Time.Sub(now))
+		case effect.WriteRows:
+			for _, c := range e.Transaction.Conditions {
+				fmt.Fprintf(&out, "if %s=%d ", c.Key, c.Version)
+			}
+			for _, p := range e.Transaction.Puts {
+				var value struct{ Ready, Leaving bool }
+				if err := json.Unmarshal(p.Value, &value); err != nil {
+					panic(err)
+				}
+				fmt.Fprintf(&out, "put %s ready=%t leaving=%t ", p.Key, value.Ready, value.Leaving)
+			}
+			for _, id := range e.Transaction.Removes {
+				fmt.Fprintf(&out, "remove %s ", id.Key)
+			}
+		}
+	}
+	return out.String()
+}
+
+// Guards against addresses of VMs that are dead, leaving or without routes,
+// against VMs that look dead in an outage of the store, and against a late write
+// of an old row.
+func TestEnroller(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/members.txtar", decider())).To(Succeed())
+}
+
+// Guards against a single address that a caller can't replace when it fails, and
+// against distant addresses while near ones suffice.
+func TestAddresses(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/addresses.txtar", func(line string) string {
+		f := goldentest.Parse(line)
+		var members []snapshot.Member
+		for _, text := range strings.Split(f["members"], ",") {
+			name, place, _ := strings.Cut(text, "@")
+			domain, region, _ := strings.Cut(place, "/")
+			members = append(members, snapshot.Member{Address: name, Domain: ident.Domain(domain), Region: ident.Region(region)})
+		}
+		return strings.Join(enroller.Addresses(members, ident.Domain(f["domain"]), ident.Region(f["region"])), ",")
+	})).To(Succeed())
+}
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -136,6 +136,8 @@
 		Left:     f.x.Deadline.Sub(started),
 		Urgency:  chosen.Urgency,
 		After:    f.after,
+
+		Repeatable: f.x.Route.Repeatable(),
 	})
 	next, result := f.handle(ctx, started, answer)
 	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Result: result})
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -25,6 +25,8 @@
 	Urgency Urgency
 	// After is the last event that the caller has, 0 for none.
 	After ident.EventID
+	// Repeatable calls may run again at another upstream.
+	Repeatable bool
 }
 
 // Urgency ranks calls at an engine, 0 first. The engine's default is 5.
