relay: reach the store through another entry VM when it turns this one away

Ruled out: asking peers after each refusal, which multiplies the load when the store refuses calls beyond its rate.

--- a/entry.go
+++ b/entry.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,6 +33,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/meter"
 	"github.com/sassafrasspur/sassafrasspur/internal/peerlink"
+	"github.com/sassafrasspur/sassafrasspur/internal/relay"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
@@ -69,6 +71,7 @@
 	timers       *timer.Service
 	meter        *meter.Meter
 	control      *executor.Executor
+	started      atomic.Pointer[executor.Executor]
 	links        *connector.Connector
 	budgets      *escrow.Escrow
 	peers        *peerlink.Peerlink
@@ -98,10 +101,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	e.links = connector.New(e.timers)
-	store := platform.NewStore(s.StoreAddress)
+	direct := platform.NewStore(s.StoreAddress)
+	e.peers = peerlink.New(direct, e.timers, e.report("peer failed"))
+	store := relay.New(direct, e.peers, e.timers, e.self(), func() []snapshot.Member { return e.view().Members })
 	e.startEntryControl(ctx, store)
+	e.started.Store(e.control)
 	e.budgets = escrow.New(ctx, store, e.timers, escrow.WithReport(e.report("budget not settled")))
-	e.peers = peerlink.New(e.budgets, e.timers, e.report("peer failed"))
 	if err := e.listen(ctx, e.entryChain(store)); err != nil {
 		stop()
 		e.control.Close()
@@ -115,7 +120,6 @@
 
 func (e *Entry) startEntryControl(ctx context.Context, store rows.Store) {
 	s := e.settings
-	self := snapshot.Member{VM: s.VM, Address: s.CallersAddress, PeerAddress: peerAddress(s), Domain: s.Domain, Region: s.Region}
 	seed := uuid.New()
 	e.control = executor.New(
 		executor.WithTimers(e.timers),
@@ -124,7 +128,7 @@
 		executor.WithControllers(
 			subscriber.New(platform.RoutesTable, platform.DecodeRoutes, e.report("routes rejected")),
 			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, e.report("upstream rejected")),
-			enroller.New(self, uuid.NewString()),
+			enroller.New(e.self(), uuid.NewString()),
 			balancer.New(balancer.Place{Domain: s.Domain, Region: s.Region, Regions: s.Regions}, uint64(seed.ID())),
 		),
 	)
@@ -148,13 +152,25 @@
 	return func(err error) { e.log.Warn().Err(err).Msg(what) }
 }
 
+// self is this VM among the members.
+func (e *Entry) self() snapshot.Member {
+	s := e.settings
+	return snapshot.Member{VM: s.VM, Address: s.CallersAddress, PeerAddress: peerAddress(s), Domain: s.Domain, Region: s.Region}
+}
+
 // peerAddress is where other entry VMs connect.
 func peerAddress(s entrysettings.Settings) string {
 	return net.JoinHostPort(s.PeerIP, strconv.Itoa(s.PeerPorts[0]))
 }
 
-// view is the newest view for entry VMs.
-func (e *Entry) view() snapshot.Entry { return e.control.Snapshot().Entry }
+// view is the newest view for entry VMs. The first reads of the store start
+// together with the control goroutine, before there is a view.
+func (e *Entry) view() snapshot.Entry {
+	if control := e.started.Load(); control != nil {
+		return control.Snapshot().Entry
+	}
+	return snapshot.Entry{}
+}
 
 func (e *Entry) listen(ctx context.Context, handler traffic.Handler) error {
 	peers, err := net.Listen("tcp", peerAddress(e.settings))
@@ -162,7 +178,7 @@
 		return errors.Annotate(err, "peer_ports; choose a free port of this VM")
 	}
 	e.peerListener = peers
-	go e.peers.Serve(ctx, peers)
+	go e.peers.Serve(ctx, peers, e.budgets)
 	leaving := func() bool { return e.view().Leaving }
 	ready := func() bool { return e.view().Routes != nil && !e.view().Leaving }
 	addresses := func(d ident.Domain, r ident.Region) []string { return enroller.Addresses(e.view().Members, d, r) }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -1,5 +1,6 @@
-// Package peerlink connects entry VMs of a failure domain by JSON-RPC, over
-// which they ask each other for grants of turns.
+// Package peerlink connects entry VMs by JSON-RPC, over which they ask each
+// other for grants of turns, and for calls of the platform's store while that
+// turns them away.
 package peerlink
 
 import (
@@ -15,6 +16,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
@@ -32,7 +34,7 @@
 
 // Peerlink serves and asks peers.
 type Peerlink struct {
-	own    *escrow.Escrow
+	store  rows.Store
 	timers *timer.Service
 	dialer net.Dialer
 	report func(error)
@@ -48,11 +50,11 @@
 	pauseUntil time.Time
 }
 
-// New returns a Peerlink that grants from an escrow. Errors that no caller
-// learns of are given to report.
-func New(own *escrow.Escrow, timers *timer.Service, report func(error)) *Peerlink {
+// New returns a Peerlink that calls the store for peers, directly. Errors that
+// no caller learns of are given to report.
+func New(store rows.Store, timers *timer.Service, report func(error)) *Peerlink {
 	return &Peerlink{
-		own: own, timers: timers, report: report, links: map[string]*link{},
+		store: store, timers: timers, report: report, links: map[string]*link{},
 		dialer: net.Dialer{Timeout: dialLimit, Control: connector.BoundSilence},
 	}
 }
@@ -63,8 +65,12 @@
 	Used  unit.Tokens  `json:"used"`
 }
 
-// Serve answers the peers of a listener until it is closed.
-func (p *Peerlink) Serve(ctx context.Context, listener net.Listener) {
+// Serve answers the peers of a listener, with grants from an escrow, until it is
+// closed.
+func (p *Peerlink) Serve(ctx context.Context, listener net.Listener, own *escrow.Escrow) {
+	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		return p.handle(ctx, r, own)
+	}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -74,12 +80,12 @@
 			return
 		}
 		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(p.handle)))
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle)))
 	}
 }
 
 // handle answers one message of a peer.
-func (p *Peerlink) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (p *Peerlink) handle(ctx context.Context, r *jsonrpc2.Request, own *escrow.Escrow) (any, error) {
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
@@ -89,7 +95,7 @@
 		if err := json.Unmarshal(*r.Params, &request); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		grant, err := p.own.Take(ctx, request)
+		grant, err := own.Take(ctx, request)
 		if err != nil {
 			return nil, refusal(err)
 		}
@@ -99,10 +105,10 @@
 		if err := json.Unmarshal(*r.Params, &end); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		p.own.Return(end.Grant, end.Used)
+		own.Return(end.Grant, end.Used)
 		return nil, nil
 	}
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	return p.handleStore(ctx, r)
 }
 
 // refusal is an error as it goes to the peer.
@@ -183,10 +189,15 @@
 		return nil, errors.Annotatef(err, "connect to peer at %s", address)
 	}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(p.handle))
+	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCalls))
 	return l.conn, nil
 }
 
+// refuseCalls answers calls that come over a connection that this VM opened.
+func refuseCalls(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+}
+
 // drop closes a connection whose peer did not answer.
 func (p *Peerlink) drop(l *link, conn *jsonrpc2.Conn) {
 	l.mu.Lock()
