escrow, backoff: fewer calls of the store under load

Ruled out: a hot part (429 named too many calls). Parts grow by up to six turns, a budget found spent is read first, pauses double and vary, lists are read each 1 to 1.7 s. Calls are counted by table.

--- a/cmd/sassafrasspur-entry/main.go
+++ b/cmd/sassafrasspur-entry/main.go
@@ -1,7 +1,7 @@
 // Command sassafrasspur-entry runs an entry VM on a deployment's platform.
 //
-// It writes its log as JSON lines to the standard output and leaves gracefully
-// on SIGTERM. The exit code is 2 if the settings are not valid and 1 if the VM
+// It writes its log as JSON lines to the standard output, leaves gracefully on
+// SIGTERM, and reads its settings again on SIGHUP. The exit code is 2 if the settings are not valid and 1 if the VM
 // can't start or has to cut requests.
 package main
 
@@ -66,12 +66,19 @@
 	log = zerolog.New(out)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	entry, err := sassafrasspur.NewEntry(s, sassafrasspur.WithEntryLog(log))
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
+	go func() {
+		for range hangups {
+			next, err := entrysettings.Load(o.Settings)
+			entry.Reload(next, err)
+		}
+	}()
 	if err := entry.Run(ctx); err != nil {
 		return exitFailed
 	}
--- a/entry.go
+++ b/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,7 @@
 	// leaveAfter is the time from the request to stop during which connections
 	// are still accepted: the interval of the list of VMs and the longest time
 	// for which callers keep an address.
-	leaveAfter = 4500 * time.Millisecond
+	leaveAfter = 5 * time.Second
 	// killMargin is the time before the process would be killed at which it
 	// stops by itself. A VM that runs slowly needs more than half a second.
 	killMargin = time.Second
@@ -101,7 +102,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	e.links = connector.New(e.timers)
-	direct := platform.NewStore(s.StoreAddress)
+	direct := platform.NewStore(s.StoreAddress, platform.WithObserver(e.observeStore))
 	e.peers = peerlink.New(direct, e.timers, e.report("peer failed"))
 	store := relay.New(direct, e.peers, e.timers, e.self(), func() []snapshot.Member { return e.view().Members })
 	e.startEntryControl(ctx, store)
@@ -147,6 +148,15 @@
 	)
 }
 
+// observeStore measures a call of the store.
+func (e *Entry) observeStore(c platform.StoreCall) {
+	kind := "read"
+	if c.Write {
+		kind = "write"
+	}
+	e.meter.ObserveStoreCall(kind, string(c.Table), c.Err == nil, c.Took)
+}
+
 // report logs an error that no caller learns of.
 func (e *Entry) report(what string) func(error) {
 	return func(err error) { e.log.Warn().Err(err).Msg(what) }
@@ -233,6 +243,17 @@
 	}
 }
 
+// Reload logs whether settings that were read again differ. Addresses and places
+// can't change while the VM serves, so a difference takes effect at the next
+// start.
+func (e *Entry) Reload(next entrysettings.Settings, err error) {
+	if err != nil {
+		e.log.Error().Err(err).Msg("settings can't be read again")
+		return
+	}
+	e.log.Info().Bool("differ", !reflect.DeepEqual(next, e.settings)).Msg("settings read again")
+}
+
 // Run serves until the context ends, and then leaves without cutting a request:
 // the VM says that it leaves, serves for as long as callers may still have its
 // address, and closes.
@@ -241,7 +262,7 @@
 	e.log.Info().Msg("leaving")
 	began := e.timers.Now()
 	e.control.Post(message.ShutdownRequested{})
-	wait := e.timers.After(min(leaveAfter, e.settings.Grace/2))
+	wait := e.timers.After(min(leaveAfter, e.settings.Grace*2/3))
 	<-wait.C
 	limit := e.settings.Grace - killMargin - e.timers.Now().Sub(began)
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -23,8 +23,9 @@
 
 const (
 	// readInterval spaces reads of the list. An upstream that leaves is to get
-	// no new work 2.5 s after it said so.
-	readInterval = 700 * time.Millisecond
+	// no new work 2.5 s after it said so, also if one read gets no answer in
+	// 0.6 s.
+	readInterval = time.Second
 	// outageAge is the age of the newest list from which an outage of the store
 	// is assumed.
 	outageAge = 2500 * time.Millisecond
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -25,9 +25,10 @@
 	table rows.Table = "entry_vms"
 	// interval spaces the reads of the list, each of which is followed by a
 	// write of the own row.
-	interval = time.Second
-	// lifetime is the age at which a row no longer stands for a VM that serves.
-	lifetime = 3500 * time.Millisecond
+	interval = 1500 * time.Millisecond
+	// lifetime is the age at which a row no longer stands for a VM that serves:
+	// three intervals.
+	lifetime = 4500 * time.Millisecond
 	// forgetAfter is the age at which another VM removes a row.
 	forgetAfter = 10 * time.Minute
 )
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -18,16 +18,19 @@
 	// defaultLimit bounds the wait for the store. Two answers of a store that
 	// is sixty times slower than usual (4 ms) fit.
 	defaultLimit = 900 * time.Millisecond
-	// retryPause spaces tries after a refusal of the store.
-	retryPause = 40 * time.Millisecond
 	// retryDelay is what callers are told when the store can't be reached.
 	retryDelay = 1500 * time.Millisecond
 	// partTurns is the number of turns of the largest size by which a part
-	// grows at most. Most turns use a quarter of that.
-	partTurns = 2
+	// grows at most. Most turns use a quarter of that, so that one transaction
+	// serves most programs.
+	partTurns = 6
 	// partShare is the part of the rest of a budget by which a part grows at
 	// most, unless a turn needs more. What a VM holds is lost with it.
-	partShare = 3
+	partShare = 2
+	// exhaustedFor is how long a VM remembers that it found a budget spent, and
+	// reads its rows first. Programs that loop send many turns at once, and each
+	// would try a transaction.
+	exhaustedFor = 5 * time.Second
 )
 
 // Request asks for the tokens of a turn.
@@ -69,8 +72,16 @@
 type fetch struct {
 	// part is the part as it was when the fetch began.
 	part part
-	done chan struct{}
-	err  error
+	// account is what was known of the budget.
+	account account
+	done    chan struct{}
+	err     error
+}
+
+// exhaustion is a budget that was found spent.
+type exhaustion struct {
+	until   time.Time
+	account account
 }
 
 // Escrow holds parts of budgets. It may be used by several goroutines.
@@ -80,10 +91,12 @@
 	limit  time.Duration
 	report func(error)
 
-	mu      sync.Mutex
-	parts   map[ident.ProgramID]*part
-	grants  map[string]openGrant
-	fetches map[ident.ProgramID]*fetch
+	mu     sync.Mutex
+	parts  map[ident.ProgramID]*part
+	grants map[string]openGrant
+	// exhausted has the programs whose budget was found spent.
+	exhausted map[ident.ProgramID]exhaustion
+	fetches   map[ident.ProgramID]*fetch
 }
 
 // Option changes how New builds an Escrow.
@@ -104,7 +117,7 @@
 func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Escrow {
 	e := &Escrow{
 		store: store, timers: timers, limit: defaultLimit, report: func(error) {},
-		parts: map[ident.ProgramID]*part{}, grants: map[string]openGrant{}, fetches: map[ident.ProgramID]*fetch{},
+		parts: map[ident.ProgramID]*part{}, grants: map[string]openGrant{}, exhausted: map[ident.ProgramID]exhaustion{}, fetches: map[ident.ProgramID]*fetch{},
 	}
 	for _, option := range options {
 		option(e)
@@ -163,7 +176,9 @@
 	if running, ok := e.fetches[r.Program]; ok {
 		return Grant{}, &pending{fetch: running}
 	}
-	started := &fetch{done: make(chan struct{}), part: part{id: uuid.NewString(), program: r.Program}}
+	started := &fetch{
+		done: make(chan struct{}), part: part{id: uuid.NewString(), program: r.Program}, account: e.exhausted[r.Program].account,
+	}
 	if p != nil {
 		started.part = *p
 	}
@@ -173,7 +188,7 @@
 
 // run carries a fetch out.
 func (e *Escrow) run(ctx context.Context, r Request, f *fetch) {
-	grown, err := e.grow(ctx, r, f.part)
+	grown, a, err := e.grow(ctx, r, f.part, f.account)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f.err = err
@@ -186,6 +201,10 @@
 		p.left += grown.amount - p.amount
 		p.amount, p.version, p.touched = grown.amount, grown.version, e.timers.Now()
 	}
+	if failure.Is(err, failure.BudgetExhausted) {
+		a.whole = false
+		e.exhausted[r.Program] = exhaustion{until: e.timers.Now().Add(exhaustedFor), account: a}
+	}
 	delete(e.fetches, r.Program)
 	close(f.done)
 }
--- a/internal/escrow/settle.go
+++ b/internal/escrow/settle.go
@@ -81,6 +81,11 @@
 			e.end(open, open.largest)
 		}
 	}
+	for program, spent := range e.exhausted {
+		if now.After(spent.until) {
+			delete(e.exhausted, program)
+		}
+	}
 	var taken []*part
 	for program, p := range e.parts {
 		if _, growing := e.fetches[program]; !growing && p.open == 0 && now.Sub(p.touched) >= idle {
--- a/internal/escrow/take.go
+++ b/internal/escrow/take.go
@@ -5,20 +5,21 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sassafrasspur/sassafrasspur/internal/backoff"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 )
 
 // grow takes enough of a program's budget out of the store for a turn and adds it
-// to a part. For a new part it first assumes that the program is new; a conflict
-// then tells what was taken so far, and only a budget that seems to be spent
-// makes it read all rows.
-func (e *Escrow) grow(ctx context.Context, r Request, p part) (part, error) {
-	var a account
+// to a part. If nothing is known of the budget it first assumes that the program
+// is new; a conflict then tells what was taken so far, and only a budget that
+// seems to be spent makes it read all rows.
+func (e *Escrow) grow(ctx context.Context, r Request, p part, a account) (part, account, error) {
+	pauses := backoff.New(e.timers)
 	for {
 		if a.spent()+r.Largest-p.left > r.Budget {
 			if a.whole || r.Largest > r.Budget {
-				return p, failure.Refusal(failure.BudgetExhausted, 0,
+				return p, a, failure.Refusal(failure.BudgetExhausted, 0,
 					"program %s has spent or reserved %d of %d tokens and the turn needs up to %d; end the program or give it a larger budget",
 					r.Program, a.spent(), r.Budget, r.Largest)
 			}
@@ -27,20 +28,20 @@
 				a = read
 				continue
 			}
-			if !e.pause(ctx) {
-				return p, unavailable(err)
+			if !pauses.Wait(ctx) {
+				return p, a, unavailable(err)
 			}
 			continue
 		}
 		grown, err := e.commitPart(ctx, r, p, &a)
-		if err != nil && !e.pause(ctx) {
-			return p, unavailable(err)
+		if err != nil && !pauses.Wait(ctx) {
+			return p, a, unavailable(err)
 		}
 		if grown.version > p.version && grown.amount > p.amount {
-			return grown, nil
+			return grown, a, nil
 		}
 		if ctx.Err() != nil {
-			return p, unavailable(ctx.Err())
+			return p, a, unavailable(ctx.Err())
 		}
 	}
 }
@@ -95,15 +96,3 @@
 	}
 	return p, errors.Errorf("unexpected outcome %T of a transaction", outcome)
 }
-
-// pause waits before the next try and reports whether there is time for one.
-func (e *Escrow) pause(ctx context.Context) bool {
-	wait := e.timers.After(retryPause)
-	defer wait.Cancel()
-	select {
-	case <-wait.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/backoff"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
@@ -22,8 +23,6 @@
 	// defaultKeepLimit bounds the wait until a turn is stored. Callers give a
 	// stream up after 2 s without an event.
 	defaultKeepLimit = 1700 * time.Millisecond
-	// retryPause spaces tries after a refusal of the store.
-	retryPause = 40 * time.Millisecond
 	// retryDelay is what callers are told when the store can't be reached.
 	retryDelay = 1500 * time.Millisecond
 )
@@ -70,31 +69,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.readLimit)
 	defer cancel()
+	pauses := backoff.New(l.timers)
 	for {
 		history, err := l.tryHistory(ctx, t)
 		var known *failure.Error
 		if err == nil || errors.As(err, &known) {
 			return history, err
 		}
-		if !l.pause(ctx) {
+		if !pauses.Wait(ctx) {
 			return nil, failure.Refusal(failure.PlatformUnavailable, retryDelay,
 				"the turns before %s could not be read: %v; repeat the request", t.Turn, err)
 		}
 	}
 }
 
-// pause waits before the next try and reports whether there is time for one.
-func (l *Ledger) pause(ctx context.Context) bool {
-	wait := l.timers.After(retryPause)
-	defer wait.Cancel()
-	select {
-	case <-wait.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // tryHistory follows the turns before a turn to the first one.
 func (l *Ledger) tryHistory(ctx context.Context, t Turn) ([]byte, error) {
 	a, err := l.read(ctx, t.Program)
@@ -159,12 +147,13 @@
 	if err != nil {
 		return err
 	}
+	pauses := backoff.New(l.timers)
 	for {
 		outcome, err := l.store.Commit(ctx, transaction)
 		if err == nil {
 			return kept(outcome, turnID(t.Program, t.Turn), write)
 		}
-		if !l.pause(ctx) {
+		if !pauses.Wait(ctx) {
 			return errors.Annotatef(err, "turn %s was not stored", t.Turn)
 		}
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -19,7 +19,7 @@
 const (
 	// watchWait bounds one wait for changes. A connection that went silent is
 	// noticed after it; a version is to be in force within 2.5 s.
-	watchWait = time.Second
+	watchWait = 1700 * time.Millisecond
 	// readPause spaces reads after an error.
 	readPause = 250 * time.Millisecond
 )
