soak: entry VMs as processes under faults from outside

Loopback proxies delay, silence, cut one way, refuse and reset; signals kill, stop, pause and hang up, also all at once; the store refuses, loses answers and applies late; upstreams shed, break and garble.

--- /dev/null
+++ b/internal/soak/runner/runner.go
@@ -0,0 +1,277 @@
+// Package runner runs a fault soak: entry VMs as processes of their own, callers
+// and upstreams that note what they see, and faults in overlapping series, all
+// drawn from one seed.
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/soak/checker"
+	"github.com/sassafrasspur/sassafrasspur/internal/soak/proxier"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/replica"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowserver"
+)
+
+const (
+	// registerInterval spaces the entries of upstreams.
+	registerInterval = time.Second
+	// settleTime is the calm at the end in which late requests still run.
+	settleTime = time.Second
+)
+
+// Options of a soak.
+type Options struct {
+	// Binary is the program of an entry VM; Dir takes settings and logs.
+	Binary, Dir string
+	Seed        uint64
+	For         time.Duration
+	VMs         int
+	Callers     int
+	// Series is the number of faults that may be active at once.
+	Series int
+}
+
+// Report is the result of a soak.
+type Report struct {
+	Violations []string
+	// Answers counts answers by status; 0 stands for a broken connection.
+	Answers map[int]int
+	Runs    int
+	Faults  []string
+}
+
+type upstreamStandin struct {
+	id      ident.UpstreamID
+	pool    string
+	replica *replica.Replica
+	server  *httptest.Server
+	proxy   *proxier.Proxier
+}
+
+// Runner is one soak.
+type Runner struct {
+	options   Options
+	keeper    *rowkeeper.Rowkeeper
+	store     *httptest.Server
+	upstreams []*upstreamStandin
+	vms       []*vm
+	checker   *checker.Checker
+	// lifecycle keeps two faults from starting or ending processes at once.
+	lifecycle sync.Mutex
+
+	mu     sync.Mutex
+	turns  []turn
+	faulty []string
+}
+
+// New returns a soak.
+func New(o Options) *Runner {
+	return &Runner{options: o, keeper: rowkeeper.New(), checker: checker.New()}
+}
+
+// Run runs the soak. The error says that it could not be carried out.
+func (r *Runner) Run(ctx context.Context) (Report, error) {
+	if err := r.deploy(); err != nil {
+		return Report{}, err
+	}
+	defer r.remove()
+	ctx, cancel := context.WithTimeout(ctx, r.options.For)
+	defer cancel()
+	registering, stopRegistering := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopRegistering()
+	go r.register(registering)
+	var work sync.WaitGroup
+	for i := range r.options.Callers {
+		c := &caller{
+			runner: r, name: fmt.Sprintf("c%d", i), random: r.random(uint64(100 + i)),
+			client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		}
+		work.Go(func() { c.run(ctx) })
+	}
+	broken := make(chan error, r.options.Series)
+	for i := range r.options.Series {
+		work.Go(func() { broken <- r.disturb(ctx, r.random(uint64(i))) })
+	}
+	work.Wait()
+	for range r.options.Series {
+		if err := <-broken; err != nil {
+			return Report{}, err
+		}
+	}
+	time.Sleep(settleTime)
+	return r.report(), nil
+}
+
+func (r *Runner) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(r.options.Seed, stream))
+}
+
+// disturb runs faults one after the other until the context ends.
+func (r *Runner) disturb(ctx context.Context, random *rand.Rand) error {
+	faults := r.faults()
+	for {
+		hold(ctx, time.Duration(200+random.IntN(1200))*time.Millisecond)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f := faults[random.IntN(len(faults))]
+		r.mu.Lock()
+		r.faulty = append(r.faulty, f.name)
+		r.mu.Unlock()
+		if err := f.run(ctx, random); err != nil {
+			return errors.Annotatef(err, "fault %q", f.name)
+		}
+	}
+}
+
+// deploy starts the store, the upstreams and the VMs.
+func (r *Runner) deploy() error {
+	r.store = httptest.NewServer(rowserver.New(r.keeper).Handler())
+	for i := range 3 {
+		if err := r.addUpstream(fmt.Sprint("engine-", i), "engines", replica.WithEvents(events), replica.WithWork(5*time.Millisecond)); err != nil {
+			return err
+		}
+		if err := r.addUpstream(fmt.Sprint("service-", i), "services", replica.WithWork(10*time.Millisecond)); err != nil {
+			return err
+		}
+	}
+	if err := r.write("op", "config", configuration()); err != nil {
+		return err
+	}
+	for i := range r.options.VMs {
+		v, err := newVM(r.options.Dir, r.options.Binary, fmt.Sprint("vm-", i), string(rune('a'+i%2)), r.store.Listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		r.vms = append(r.vms, v)
+		if err := v.start(); err != nil {
+			return err
+		}
+	}
+	for _, v := range r.vms {
+		if err := v.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Runner) addUpstream(id, pool string, options ...replica.Option) error {
+	u := &upstreamStandin{id: ident.UpstreamID(id), pool: pool, replica: replica.New(ident.UpstreamID(id), options...)}
+	u.server = httptest.NewServer(u.replica)
+	proxy, err := proxier.New(u.server.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	u.proxy = proxy
+	r.upstreams = append(r.upstreams, u)
+	return r.write("servers", id, u.entry())
+}
+
+func (u *upstreamStandin) entry() map[string]any {
+	return map[string]any{"service": u.pool, "address": u.proxy.Address(), "zone": "a", "slots": 8, "state": "ready"}
+}
+
+// register writes the entries of upstreams again, as replicas do.
+func (r *Runner) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		hold(ctx, registerInterval)
+		for _, u := range r.upstreams {
+			// A fault of the store loses an entry's update; the next one follows.
+			_ = r.write("servers", string(u.id), u.entry())
+		}
+	}
+}
+
+func (r *Runner) write(table rows.Table, key string, value any) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = r.keeper.Commit(context.Background(), rows.Transaction{
+		Puts: []rows.Put{{ID: rows.ID{Table: table, Key: rows.Key(key)}, Value: encoded}},
+	})
+	return errors.Trace(err)
+}
+
+// configuration is the operator's row.
+func configuration() map[string]any {
+	route := func(name, kind, pool string, resumable, retained bool) map[string]any {
+		return map[string]any{
+			"name": name, "hostname": "example.test", "prefix": "/" + name + "/", "routeKind": kind, "service": pool,
+			"timeoutMs": 4000, "maxAttempts": 2, "resumable": resumable, "retained": retained, "retentionS": 60, "sticky": true,
+		}
+	}
+	return map[string]any{
+		"version": 1,
+		"routes": []any{
+			route("file", "non_idempotent", "services", false, false), route("look", "idempotent", "services", false, false),
+			route("ask", "streaming", "engines", true, false), route("chat", "streaming", "engines", false, true),
+		},
+		"services": []any{
+			map[string]any{"name": "services", "maxConns": 110},
+			map[string]any{"name": "engines", "maxConns": 370, "engine": map[string]any{"slots": 64, "chunkTokens": eventTokens}},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+	}
+}
+
+// keepTurn notes a turn that programs to come may continue.
+func (r *Runner) keepTurn(t turn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turns = append(r.turns, t)
+}
+
+func (r *Runner) oldTurn(random *rand.Rand) (turn, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.turns) == 0 {
+		return turn{}, false
+	}
+	return r.turns[random.IntN(len(r.turns))], true
+}
+
+func (r *Runner) report() Report {
+	var runs []checker.Ran
+	for _, u := range r.upstreams {
+		for _, run := range u.replica.Runs() {
+			runs = append(runs, checker.Ran{ID: run.Request, Prompt: run.Body})
+		}
+	}
+	violations, answers := r.checker.Finish(runs)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Report{Violations: violations, Answers: answers, Runs: len(runs), Faults: r.faulty}
+}
+
+// remove ends what the soak started.
+func (r *Runner) remove() {
+	for _, v := range r.vms {
+		// A process that is gone already has nothing to end.
+		_ = v.signal(syscall.SIGCONT)
+		_ = v.signal(syscall.SIGKILL)
+		_ = v.wait()
+		v.store.Close()
+	}
+	for _, u := range r.upstreams {
+		u.proxy.Close()
+		u.server.CloseClientConnections()
+		u.server.Close()
+	}
+	r.store.CloseClientConnections()
+	r.store.Close()
+}
--- /dev/null
+++ b/internal/soak/runner/runner_test.go
@@ -0,0 +1,34 @@
+package runner_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/soak/runner"
+)
+
+// seeds are run on each change. Seeds that ever failed stay, with their cause.
+var seeds = []uint64{1}
+
+// Guards against any broken promise under faults from outside, with real
+// processes: requests that run twice or though they were refused, mixed or
+// missing answers, overspent budgets and lost turns.
+func TestSoak(t *testing.T) {
+	g := NewWithT(t)
+	binary := filepath.Join(t.TempDir(), "entry")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/sassafrasspur/sassafrasspur/cmd/sassafrasspur-entry").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	for _, seed := range seeds {
+		report, err := runner.New(runner.Options{
+			Binary: binary, Dir: t.TempDir(), Seed: seed, For: 8 * time.Second, VMs: 3, Callers: 6, Series: 2,
+		}).Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(report.Violations).To(BeEmpty(), "seed %d", seed)
+		g.Expect(report.Answers[200]).To(BeNumerically(">", 0), "seed %d served nothing", seed)
+	}
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -121,7 +121,9 @@
 	w.Header().Set("X-Server-Signature", "signature-of-"+string(r.id))
 	switch b := behaviour.(type) {
 	case Garble:
-		w.Header().Set("X-Attempt-Id", "another-request")
+		id = "another-request"
+		run.Request = ident.RequestID(id)
+		w.Header().Set("X-Attempt-Id", id)
 	case Hang:
 		<-request.Context().Done()
 		return
