--- a/cmd/sassafrasspur-entry/main.go
+++ b/cmd/sassafrasspur-entry/main.go
@@ -48,6 +48,11 @@
 }
 
 func run(o options) int {
+	// Signals are taken first: a stop during the start ends no request.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := entrysettings.Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -64,10 +69,6 @@
 	defer func() { _ = out.Close() }()
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log = zerolog.New(out)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	entry, err := sassafrasspur.NewEntry(s, sassafrasspur.WithEntryLog(log))
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
--- a/cmd/sassafrasspur/main.go
+++ b/cmd/sassafrasspur/main.go
@@ -21,8 +21,10 @@
 const name = "sassafrasspur"
 
 func main() {
+	// Without this a closed pipe would end the process by a signal.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	code := run(ctx, os.Args[1:], os.Stdin, &quietPipe{to: os.Stdout}, os.Stderr)
 	stop()
 	os.Exit(code)
 }
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -62,8 +62,14 @@
 	return err
 }
 
+// waitShare is the part of the time left in which a turn waits for the store. A
+// caller that is refused with time left comes again.
+const waitShare = 3
+
 // prepare reserves the turn's tokens and reads its history at the same time.
 func (t *Turnrecorder) prepare(ctx context.Context, x *traffic.Exchange, turn ledger.Turn) (granter.Grant, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, x.Deadline.Sub(t.timers.Now())/waitShare)
+	defer cancel()
 	var history []byte
 	read := make(chan error, 1)
 	if turn.Previous == "" {
--- a/internal/soak/runner/faults.go
+++ b/internal/soak/runner/faults.go
@@ -58,7 +58,7 @@
 	// A killed process has no exit to check.
 	_ = v.wait()
 	hold(ctx, time.Duration(random.IntN(1500))*time.Millisecond)
-	return v.start()
+	return v.restart()
 }
 
 // killAll ends all processes at the same moment: what must last is in the store.
@@ -72,7 +72,7 @@
 	}
 	for _, v := range r.vms {
 		_ = v.wait()
-		if err := v.start(); err != nil {
+		if err := v.restart(); err != nil {
 			return err
 		}
 	}
@@ -90,7 +90,7 @@
 	if err := v.wait(); err != nil {
 		r.checker.Violate("stop: %s did not stop cleanly: %v", v.name, err)
 	}
-	return v.start()
+	return v.restart()
 }
 
 func (r *Runner) pause(ctx context.Context, random *rand.Rand) error {
--- a/internal/soak/runner/vm.go
+++ b/internal/soak/runner/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,13 +38,25 @@
 	started int
 }
 
-// freeAddress returns an address of the loopback interface that was free.
+const (
+	// firstPort and ports bound the ports of VMs. They lie below those that the
+	// system gives to outgoing connections, which could take a port of a VM
+	// that is down.
+	firstPort = 20_000
+	ports     = 12_000
+)
+
+// freeAddress returns an address of the loopback interface that is free.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Annotate(err, "find a free address")
+	var last error
+	for range 50 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			return l.Addr().String(), errors.Trace(l.Close())
+		}
+		last = err
 	}
-	return l.Addr().String(), errors.Trace(l.Close())
+	return "", errors.Annotate(last, "find a free address")
 }
 
 // newVM writes the settings of a VM whose store is behind a proxy.
@@ -113,20 +126,39 @@
 	return nil
 }
 
+// restart starts the process and waits until it answers.
+func (v *vm) restart() error {
+	if err := v.start(); err != nil {
+		return err
+	}
+	return v.awaitUp()
+}
+
 // awaitReady waits until the VM serves callers.
 func (v *vm) awaitReady() error {
+	return v.await(func(status int) bool { return status == http.StatusOK })
+}
+
+// awaitUp waits until the process answers. Before that a signal may end it at
+// once, as it ends any program that has not asked for it yet.
+func (v *vm) awaitUp() error {
+	return v.await(func(status int) bool { return status != 0 })
+}
+
+func (v *vm) await(enough func(status int) bool) error {
 	deadline := time.Now().Add(readyLimit)
 	for time.Now().Before(deadline) {
-		response, err := http.Get("http://" + v.readiness + "/api/readyz")
-		if err == nil {
+		status := 0
+		if response, err := http.Get("http://" + v.readiness + "/api/readyz"); err == nil {
 			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return nil
-			}
+			status = response.StatusCode
+		}
+		if enough(status) {
+			return nil
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
-	return errors.Errorf("%s was not ready after %s", v.name, readyLimit)
+	return errors.Errorf("%s did not start within %s", v.name, readyLimit)
 }
 
 // signal sends a signal to the process that this VM started.
