--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
@@ -150,7 +151,7 @@
 }
 
 func unavailable(err error) *failure.Error {
-	return failure.Refusal(failure.PlatformUnavailable, retryDelay, "the turn's budget could not be reserved: %v; repeat the request", err)
+	return failure.Refusal(failure.PlatformUnavailable, retryDelay, "the turn's budget could not be reserved: %v; repeat the request", errors.Cause(err))
 }
 
 // pending is a fetch that a turn waits for; the turn that started it owns it.
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
@@ -147,7 +149,7 @@
 	err := r.ledger.Keep(r.ctx, r.turn, r.exchange.Request.Body, r.output)
 	r.exchange.Trace.Kept = max(r.timers.Now().Sub(started), time.Nanosecond)
 	if err != nil {
-		return failure.New(failure.NotDurable, "the turn could not be stored: %v; send it again", err)
+		return failure.New(failure.NotDurable, "the turn could not be stored: %v; send it again", errors.Cause(err))
 	}
 	return r.Responder.End()
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -78,7 +78,7 @@
 		}
 		if !pauses.Wait(ctx) {
 			return nil, failure.Refusal(failure.PlatformUnavailable, retryDelay,
-				"the turns before %s could not be read: %v; repeat the request", t.Turn, err)
+				"the turns before %s could not be read: %v; repeat the request", t.Turn, errors.Cause(err))
 		}
 	}
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -80,10 +80,15 @@
 			return
 		}
 		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle)))
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed()), jsonrpc2.SetLogger(p))
 	}
 }
 
+// Printf reports what the library has to say.
+func (p *Peerlink) Printf(format string, args ...any) {
+	p.report(errors.Errorf(format, args...))
+}
+
 // handle answers one message of a peer.
 func (p *Peerlink) handle(ctx context.Context, r *jsonrpc2.Request, own *escrow.Escrow) (any, error) {
 	if r.Params == nil {
@@ -189,7 +194,7 @@
 		return nil, errors.Annotatef(err, "connect to peer at %s", address)
 	}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCalls))
+	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCalls), jsonrpc2.SetLogger(p))
 	return l.conn, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,7 +121,7 @@
 // have been applied by either.
 func worse(a, b error) error {
 	if errors.Is(a, rows.ErrUnavailable) && !errors.Is(b, rows.ErrUnavailable) {
-		return errors.Wrap(b, errors.Annotate(rows.ErrUnknown, b.Error()))
+		return b
 	}
 	return a
 }
--- a/internal/soak/runner/vm.go
+++ b/internal/soak/runner/vm.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,11 +47,18 @@
 	ports     = 12_000
 )
 
+// nextPort is the offset of the next port, so that no two VMs have the same.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(rand.Uint32N(ports))
+	return &n
+}()
+
 // freeAddress returns an address of the loopback interface that is free.
 func freeAddress() (string, error) {
 	var last error
 	for range 50 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports))
 		if err == nil {
 			return l.Addr().String(), errors.Trace(l.Close())
 		}
