sweeper: remove the rows of programs that ended long ago

VMs list the programs that they use by spans of five minutes; the first VM removes what was not used for fifteen.

--- a/entry.go
+++ b/entry.go
@@ -34,11 +34,13 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/meter"
 	"github.com/sassafrasspur/sassafrasspur/internal/peerlink"
+	"github.com/sassafrasspur/sassafrasspur/internal/programrows"
 	"github.com/sassafrasspur/sassafrasspur/internal/relay"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
 	"github.com/sassafrasspur/sassafrasspur/internal/subscriber"
+	"github.com/sassafrasspur/sassafrasspur/internal/sweeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
@@ -74,6 +76,7 @@
 	control      *executor.Executor
 	started      atomic.Pointer[executor.Executor]
 	links        *connector.Connector
+	sweeper      *sweeper.Sweeper
 	budgets      *escrow.Escrow
 	peers        *peerlink.Peerlink
 	stop         context.CancelFunc
@@ -107,7 +110,8 @@
 	store := relay.New(direct, e.peers, e.timers, e.self(), func() []snapshot.Member { return e.view().Members })
 	e.startEntryControl(ctx, store)
 	e.started.Store(e.control)
-	e.budgets = escrow.New(ctx, store, e.timers, escrow.WithReport(e.report("budget not settled")))
+	e.sweeper = sweeper.New(ctx, direct, programrows.New(direct), e.timers, s.VM, e.isFirst, e.report("sweep failed"))
+	e.budgets = escrow.New(ctx, store, e.timers, escrow.WithReport(e.report("budget not settled")), escrow.WithUse(e.sweeper.Use))
 	if err := e.listen(ctx, e.entryChain(store)); err != nil {
 		stop()
 		e.control.Close()
@@ -162,6 +166,12 @@
 	return func(err error) { e.log.Warn().Err(err).Msg(what) }
 }
 
+// isFirst reports whether this VM is the first of those that serve callers.
+func (e *Entry) isFirst() bool {
+	members := e.view().Members
+	return len(members) > 0 && members[0].VM == e.settings.VM
+}
+
 // self is this VM among the members.
 func (e *Entry) self() snapshot.Member {
 	s := e.settings
@@ -274,6 +284,7 @@
 		}
 	}
 	e.budgets.Flush(closing)
+	e.sweeper.Note(closing)
 	e.stop()
 	if closed := e.peerListener.Close(); closed != nil {
 		e.log.Warn().Err(closed).Msg("peer address not closed")
--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,95 @@
+package balancer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+)
+
+// decider keeps the controller from line to line. The VM is in domain d1 of
+// region r1; d2 is in the same region and d3 in another.
+func decider() func(line string) string {
+	b := balancer.New(balancer.Place{Domain: "d1", Region: "r1", Regions: map[ident.Domain]ident.Region{"d1": "r1", "d2": "r1", "d3": "r2"}}, 1)
+	now := time.Unix(0, 0)
+	return func(line string) string {
+		f := goldentest.Parse(line)
+		now = now.Add(f.Duration("after"))
+		switch {
+		case f.Has("list"):
+			b.Handle(now, listed(now, f["list"]))
+			return ""
+		case f.Has("connections"):
+			pools := []routing.Pool{{ID: "pool", Connections: f.Int("connections")}}
+			b.Handle(now, message.RoutesChanged{Table: routing.New(1, nil, pools, routing.Limits{})})
+			b.Handle(now, message.MembersListed{Serving: f.Int("members")})
+			return ""
+		case f.Has("ended"):
+			b.Handle(now, message.CallEnded{Upstream: ident.UpstreamID(f["ended"]), Result: result(f)})
+			return ""
+		}
+		return choose(b, now, f)
+	}
+}
+
+// listed is a list of upstreams, each written as id@domain with "!" if it leaves.
+func listed(now time.Time, text string) message.UpstreamsRead {
+	m := message.UpstreamsRead{AsOf: now}
+	for _, entry := range strings.Split(text, ",") {
+		id, domain, _ := strings.Cut(strings.TrimSuffix(entry, "!"), "@")
+		m.Upstreams = append(m.Upstreams, upstream.Upstream{
+			ID: ident.UpstreamID(id), Pool: "pool", Domain: ident.Domain(domain), Leaving: strings.HasSuffix(entry, "!"),
+		})
+	}
+	return m
+}
+
+func result(f goldentest.Fields) message.UpstreamResult {
+	switch f["result"] {
+	case "refused":
+		return message.UpstreamRefused{}
+	case "failed":
+		return message.UpstreamFailed{Connected: true}
+	case "unreachable":
+		return message.UpstreamFailed{}
+	}
+	return message.UpstreamAnswered{First: f.Duration("first")}
+}
+
+func choose(b *balancer.Balancer, now time.Time, f goldentest.Fields) string {
+	m := message.ChooseUpstream{Pool: "pool", Route: &routing.Route{Kind: routing.Idempotent{}}, Affinity: f["affinity"]}
+	if f.Has("prompt") {
+		m.Prompt = &traffic.Prompt{Input: 4000, Parts: []traffic.Part{{Tokens: 2500}, {Tokens: 1500}}}
+		m.Route = &routing.Route{Kind: routing.Stream{}, Priority: f.Int("priority")}
+	}
+	for _, id := range strings.Split(f["tried"], ",") {
+		m.Tried = append(m.Tried, ident.UpstreamID(id))
+	}
+	effects := b.Handle(now, m)
+	switch o := effects[0].(effect.Answer).Outcome.(type) {
+	case outcome.Chosen:
+		return fmt.Sprintf("%s urgency=%d", o.Upstream.ID, o.Urgency)
+	case outcome.Refused:
+		return fmt.Sprintf("refused %s not_run=%t retry_after=%s", o.Err.Kind, o.Err.NotRun, o.Err.RetryAfter)
+	}
+	return "unknown"
+}
+
+// Guards against work for upstreams that leave, were tried or failed, against
+// traffic between regions while near upstreams serve, against prompts that are
+// computed again elsewhere, and against more connections than an upstream takes.
+func TestBalancer(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decider())).To(Succeed())
+}
--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -91,6 +91,7 @@
 	timers *timer.Service
 	limit  time.Duration
 	report func(error)
+	use    func(ident.ProgramID)
 
 	mu     sync.Mutex
 	parts  map[ident.ProgramID]*part
@@ -113,11 +114,16 @@
 	return func(e *Escrow) { e.report = report }
 }
 
+// WithUse sets what is told of each program that has rows from now on.
+func WithUse(use func(ident.ProgramID)) Option {
+	return func(e *Escrow) { e.use = use }
+}
+
 // New returns an escrow on a store. It settles idle parts until the context
 // ends.
 func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Escrow {
 	e := &Escrow{
-		store: store, timers: timers, limit: defaultLimit, report: func(error) {},
+		store: store, timers: timers, limit: defaultLimit, report: func(error) {}, use: func(ident.ProgramID) {},
 		parts: map[ident.ProgramID]*part{}, grants: map[string]openGrant{}, exhausted: map[ident.ProgramID]exhaustion{}, fetches: map[ident.ProgramID]*fetch{},
 	}
 	for _, option := range options {
@@ -189,6 +195,7 @@
 
 // run carries a fetch out.
 func (e *Escrow) run(ctx context.Context, r Request, f *fetch) {
+	e.use(r.Program)
 	grown, a, err := e.grow(ctx, r, f.part, f.account)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -1,8 +1,10 @@
 package escrow
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -22,6 +24,8 @@
 // budgetRow is the sum of all parts that were taken from a budget.
 type budgetRow struct {
 	Taken unit.Tokens `json:"taken"`
+	// At is the time of day at which a part was taken last, in Unix seconds.
+	At int64 `json:"at"`
 }
 
 // partRow is a part of a budget that a VM took.
@@ -49,6 +53,32 @@
 	return errors.Annotatef(json.Unmarshal(row.Value, into), "row %s of program %s can't be read", row.Key, row.Part)
 }
 
+// LastUse returns when a part of a program's budget was taken last, the zero time
+// if none was.
+func LastUse(ctx context.Context, store rows.Store, p ident.ProgramID) (time.Time, error) {
+	page, err := store.Read(ctx, rows.Range{Table: budgetsTable, Part: rows.Part(p), From: budgetKey, To: budgetKey + "\x00"})
+	if err != nil {
+		return time.Time{}, err
+	}
+	row, ok := rows.Find(page.Rows, budgetID(p))
+	if !ok {
+		return time.Time{}, nil
+	}
+	var budget budgetRow
+	err = decode(row, &budget)
+	return time.Unix(budget.At, 0), err
+}
+
+// Stored returns the rows of a program's budget.
+func Stored(ctx context.Context, store rows.Store, p ident.ProgramID) ([]rows.ID, error) {
+	page, err := store.Read(ctx, rows.Range{Table: budgetsTable, Part: rows.Part(p)})
+	var ids []rows.ID
+	for _, row := range page.Rows {
+		ids = append(ids, row.ID)
+	}
+	return ids, err
+}
+
 // account is what a program's rows say of its budget.
 type account struct {
 	// taken is the sum of all parts, refunded what settled parts did not use.
--- a/internal/escrow/take.go
+++ b/internal/escrow/take.go
@@ -60,7 +60,7 @@
 // it.
 func (e *Escrow) commitPart(ctx context.Context, r Request, p part, a *account) (part, error) {
 	more := max(r.Largest-p.left, min(partTurns*r.Largest, (r.Budget-a.spent())/partShare))
-	budget, err := put(budgetID(r.Program), budgetRow{Taken: a.taken + more})
+	budget, err := put(budgetID(r.Program), budgetRow{Taken: a.taken + more, At: e.timers.Now().Unix()})
 	if err != nil {
 		return p, err
 	}
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -40,7 +40,7 @@
 func (t *Turnrecorder) Serve(ctx context.Context, x *traffic.Exchange, next traffic.Handler) error {
 	stream, isStream := x.Route.Kind.(routing.Stream)
 	program := x.Request.Program
-	if !isStream || program == nil || program.Budget <= 0 || x.Request.Prompt == nil {
+	if !isStream || program == nil || x.Request.Prompt == nil || program.Budget <= 0 && !stream.Retained {
 		return next(ctx, x)
 	}
 	turn := ledger.Turn{Program: program.ID, Turn: x.Request.ID}
@@ -83,9 +83,7 @@
 			read <- err
 		}()
 	}
-	grant, err := t.granter.Take(ctx, t.domain, escrow.Request{
-		Program: turn.Program, Budget: x.Request.Program.Budget, Largest: x.Request.Prompt.Output,
-	})
+	grant, err := t.take(ctx, x)
 	unread := <-read
 	if err != nil {
 		return granter.Grant{}, nil, err
@@ -97,6 +95,17 @@
 	return grant, history, nil
 }
 
+// take reserves the turn's tokens. A program without a budget needs no grant.
+func (t *Turnrecorder) take(ctx context.Context, x *traffic.Exchange) (granter.Grant, error) {
+	program := x.Request.Program
+	if program.Budget <= 0 {
+		return granter.Grant{Return: func(unit.Tokens) {}}, nil
+	}
+	return t.granter.Take(ctx, t.domain, escrow.Request{
+		Program: program.ID, Budget: program.Budget, Largest: x.Request.Prompt.Output,
+	})
+}
+
 // eventTokens is the number of tokens in an event of the exchange's pool.
 func eventTokens(x *traffic.Exchange) unit.Tokens {
 	if engine := x.Table.Pools[x.Pool].Engine; engine != nil && engine.EventTokens > 0 {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -137,6 +138,19 @@
 	return a, nil
 }
 
+// Stored returns the rows of a program's turns.
+func Stored(ctx context.Context, store rows.Store, p ident.ProgramID) ([]rows.ID, error) {
+	page, err := store.Read(ctx, rows.Range{Table: turnsTable, Part: rows.Part(p)})
+	var ids []rows.ID
+	for _, row := range page.Rows {
+		ids = append(ids, row.ID)
+		if turn, ok := strings.CutPrefix(string(row.Key), turnPrefix); ok {
+			ids = append(ids, indexID(ident.RequestID(turn)))
+		}
+	}
+	return ids, err
+}
+
 // Keep stores a turn that was answered whole. Once it returns nil, every VM can
 // continue the turn. After an error the turn may or may not be stored.
 func (l *Ledger) Keep(ctx context.Context, t Turn, input, output []byte) error {
--- a/internal/standin/rowkeeper/rowkeeper.go
+++ b/internal/standin/rowkeeper/rowkeeper.go
@@ -68,6 +68,31 @@
 	return k.commits, k.reads
 }
 
+// Size returns the number of rows.
+func (k *Rowkeeper) Size() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.rows)
+}
+
+// Parts returns the parts of a table that have rows.
+func (k *Rowkeeper) Parts(_ context.Context, t rows.Table) ([]rows.Part, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads++
+	if fault := k.faults(false); fault != nil {
+		return nil, faultError(fault)
+	}
+	var parts []rows.Part
+	for id := range k.rows {
+		if id.Table == t && !slices.Contains(parts, id.Part) {
+			parts = append(parts, id.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts, nil
+}
+
 // Settle applies the transactions that were held back.
 func (k *Rowkeeper) Settle() {
 	k.mu.Lock()
--- a/internal/standin/rowserver/rowserver.go
+++ b/internal/standin/rowserver/rowserver.go
@@ -14,6 +14,9 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
 )
 
+// partsLimit is the largest number of parts in one answer.
+const partsLimit = 1000
+
 // Rowserver serves one store.
 type Rowserver struct {
 	keeper *rowkeeper.Rowkeeper
@@ -57,6 +60,7 @@
 	mux.HandleFunc("POST /api/rows-tx", s.commit)
 	mux.HandleFunc("GET /api/rows-get", s.read)
 	mux.HandleFunc("GET /api/rows-feed", s.changes)
+	mux.HandleFunc("GET /api/rows-parts", s.parts)
 	return mux
 }
 
@@ -116,6 +120,30 @@
 	reply(w, http.StatusOK, answer)
 }
 
+func (s *Rowserver) parts(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	all, err := s.keeper.Parts(r.Context(), rows.Table(q.Get("table")))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer := struct {
+		Parts     []rows.Part `json:"parts"`
+		Truncated bool        `json:"truncated"`
+	}{Parts: []rows.Part{}}
+	for _, part := range all {
+		if string(part) <= q.Get("after") && q.Get("after") != "" {
+			continue
+		}
+		if len(answer.Parts) == partsLimit {
+			answer.Truncated = true
+			break
+		}
+		answer.Parts = append(answer.Parts, part)
+	}
+	reply(w, http.StatusOK, answer)
+}
+
 func (s *Rowserver) changes(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, afterErr := strconv.ParseUint(q.Get("after"), 10, 64)
--- /dev/null
+++ b/internal/sweeper/sweeper_test.go
@@ -0,0 +1,60 @@
+package sweeper_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
+	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
+	"github.com/sassafrasspur/sassafrasspur/internal/programrows"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/sweeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+)
+
+// Guards against a store that fills up with the rows of ended programs, and
+// against the removal of a program that was used since it was listed.
+func TestSweep(t *testing.T) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	keeper := rowkeeper.New()
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	timers := timer.New(timer.WithManual(clock))
+	turns := ledger.New(keeper, timers)
+	fail := func(err error) { t.Error(err) }
+	s := sweeper.New(ctx, keeper, programrows.New(keeper), timers, "vm1", func() bool { return true }, fail)
+	budgets := escrow.New(ctx, keeper, timers, escrow.WithUse(s.Use))
+	use := func(p ident.ProgramID, turn int) {
+		grant, err := budgets.Take(ctx, escrow.Request{Program: p, Budget: 1000, Largest: 10})
+		g.Expect(err).NotTo(HaveOccurred())
+		id := ident.RequestID(fmt.Sprint(p, "-", turn))
+		g.Expect(turns.Keep(ctx, ledger.Turn{Program: p, Turn: id}, []byte("text"), nil)).To(Succeed())
+		budgets.Return(grant, 1)
+		budgets.Flush(ctx)
+		s.Note(ctx)
+	}
+	for i := range 40 {
+		use("ended", i)
+	}
+	use("used", 1)
+	before := keeper.Size()
+	clock.Advance(10 * time.Minute)
+	use("used", 2)
+	s.Sweep(ctx)
+	g.Expect(keeper.Size()).To(BeNumerically(">=", before), "rows are kept for their time")
+	clock.Advance(11 * time.Minute)
+	s.Sweep(ctx)
+	g.Expect(keeper.Size()).To(BeNumerically("<", 15), "rows of the ended program are gone")
+	history, err := turns.History(ctx, ledger.Turn{Program: "used", Turn: "next", Previous: "used-1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(history)).To(Equal("text"))
+	clock.Advance(30 * time.Minute)
+	s.Sweep(ctx)
+	g.Expect(keeper.Size()).To(BeZero())
+}
