escrow: a part remembers the budget as of its last transaction

Cause: each growth of a part first tried version 0 of the budget row and met a conflict, two transactions in place of one.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -59,6 +59,8 @@
 	left, used unit.Tokens
 	open       int
 	touched    time.Time
+	// account is the budget as of the last transaction on the part.
+	account account
 }
 
 // openGrant is a grant that was not returned yet.
@@ -187,7 +189,7 @@
 		done: make(chan struct{}), part: part{id: uuid.NewString(), program: r.Program}, account: e.exhausted[r.Program].account,
 	}
 	if p != nil {
-		started.part = *p
+		started.part, started.account = *p, p.account
 	}
 	e.fetches[r.Program] = started
 	return Grant{}, &pending{fetch: started, owned: true}
@@ -207,7 +209,7 @@
 			e.parts[r.Program] = p
 		}
 		p.left += grown.amount - p.amount
-		p.amount, p.version, p.touched = grown.amount, grown.version, e.timers.Now()
+		p.amount, p.version, p.account, p.touched = grown.amount, grown.version, grown.account, e.timers.Now()
 	}
 	if failure.Is(err, failure.BudgetExhausted) {
 		a.whole = false
--- a/internal/escrow/take.go
+++ b/internal/escrow/take.go
@@ -78,13 +78,14 @@
 	switch o := outcome.(type) {
 	case rows.Committed:
 		p.amount, p.version = p.amount+more, o.Version
+		p.account = account{taken: a.taken + more, refunded: a.refunded, version: o.Version}
 		return p, nil
 	case rows.Conflict:
 		own, ok := rows.Find(o.Rows, row.ID)
 		if ok && own.Version != p.version {
 			var stored partRow
 			err := decode(own, &stored)
-			p.amount, p.version = stored.Amount, own.Version
+			p.amount, p.version, p.account = stored.Amount, own.Version, account{}
 			return p, err
 		}
 		a.whole = false
