drainer: refuse requests that come too late to be finished before a stop

Ruled out: a stop during the start. Requests are accepted for 3 s and refused as not run after that.

--- a/entry.go
+++ b/entry.go
@@ -25,6 +25,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/drainer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/pathfinder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
@@ -56,6 +57,10 @@
 	// are still accepted: the interval of the list of VMs and the longest time
 	// for which callers keep an address.
 	leaveAfter = 5 * time.Second
+	// acceptFor is the time from the request to stop during which requests are
+	// accepted. Those that come later could not be finished before the end of
+	// the grace, 8 s, if they take 4 s.
+	acceptFor = 3 * time.Second
 	// killMargin is the time before the process would be killed at which it
 	// stops by itself. A VM that runs slowly needs more than half a second.
 	killMargin = time.Second
@@ -145,6 +150,7 @@
 	members := func() []snapshot.Member { return e.view().Members }
 	return traffic.Chain(
 		reporter.New(e.log, e.meter, e.timers),
+		drainer.New(e.control.Snapshot, acceptFor),
 		pathfinder.New(e.control.Snapshot),
 		turnrecorder.New(e.settings.Domain,
 			granter.New(e.settings.VM, e.budgets, e.peers, members), ledger.New(store, e.timers), e.timers),
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -54,9 +54,11 @@
 
 	routed  bool
 	leaving bool
-	members []snapshot.Member
-	asOf    time.Time
-	pacer   pacer.Pacer
+	// leavingSince is when the VM was asked to stop.
+	leavingSince time.Time
+	members      []snapshot.Member
+	asOf         time.Time
+	pacer        pacer.Pacer
 }
 
 // New returns the controller of a VM.
@@ -81,7 +83,7 @@
 			return e.hasten(now)
 		}
 	case message.ShutdownRequested:
-		e.leaving = true
+		e.leaving, e.leavingSince = true, now
 		return append(e.hasten(now), effect.Publish{})
 	case message.RowsRead:
 		if m.Range.Table == table {
@@ -151,7 +153,8 @@
 // Describe adds the members to a snapshot. Without a list there is this VM
 // alone.
 func (e *Enroller) Describe(view *snapshot.Snapshot) {
-	view.Entry.Members, view.Entry.MembersAsOf, view.Entry.Leaving = e.members, e.asOf, e.leaving
+	view.Entry.Members, view.Entry.MembersAsOf = e.members, e.asOf
+	view.Entry.Leaving, view.Entry.LeavingSince = e.leaving, e.leavingSince
 	if e.members == nil && e.routed && !e.leaving {
 		view.Entry.Members = []snapshot.Member{e.self}
 	}
--- /dev/null
+++ b/internal/filter/drainer/drainer.go
@@ -0,0 +1,35 @@
+// Package drainer has the filter that refuses requests which come so late after
+// the request to stop that they could not be finished.
+package drainer
+
+import (
+	"context"
+	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+)
+
+// leavingDelay is what callers are told that still use this VM's address.
+const leavingDelay = 50 * time.Millisecond
+
+// Drainer refuses late requests.
+type Drainer struct {
+	view  func() *snapshot.Snapshot
+	after time.Duration
+}
+
+// New returns the filter. Requests are served for a time after the request to
+// stop, because callers keep addresses for a while.
+func New(view func() *snapshot.Snapshot, after time.Duration) *Drainer {
+	return &Drainer{view: view, after: after}
+}
+
+// Serve refuses a request that comes too late; it did not run.
+func (d *Drainer) Serve(ctx context.Context, x *traffic.Exchange, next traffic.Handler) error {
+	if entry := d.view().Entry; entry.Leaving && x.Arrived.Sub(entry.LeavingSince) > d.after {
+		return failure.Refusal(failure.ShuttingDown, leavingDelay, "this VM stops; ask for addresses and repeat the request at another")
+	}
+	return next(ctx, x)
+}
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -19,8 +19,9 @@
 	// Upstreams is the number of upstreams that may get new work.
 	Upstreams     int
 	UpstreamsAsOf time.Time
-	// Leaving is set from the request to shut down.
-	Leaving bool
+	// Leaving is set from the request to shut down, at LeavingSince.
+	Leaving      bool
+	LeavingSince time.Time
 }
 
 // Member is an entry VM that serves callers.
--- a/internal/soak/runner/vm.go
+++ b/internal/soak/runner/vm.go
@@ -98,7 +98,7 @@
 metrics_address = %q
 peer_ip = "127.0.0.1"
 peer_ports = [%s, %s]
-grace = "6s"
+grace = "8s"
 store_address = %q
 [regions]
 a = "region"
