--- a/cmd/sassafrasspur-entry/main.go
+++ b/cmd/sassafrasspur-entry/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur"
 	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
+	"github.com/sassafrasspur/sassafrasspur/platform"
 )
 
 const (
@@ -31,7 +32,7 @@
 )
 
 type options struct {
-	Settings string `long:"settings" env:"SASSAFRASSPUR_SETTINGS" value-name:"FILE" description:"Settings of the entry VM in TOML"`
+	Settings string `long:"settings" value-name:"FILE" description:"Settings of the entry VM in TOML; the platform names them in its environment variable"`
 	Check    bool   `long:"check-settings" description:"Check the settings, print all errors and exit"`
 }
 
@@ -44,6 +45,9 @@
 		}
 		os.Exit(exitSettings)
 	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	os.Exit(run(o))
 }
 
--- a/cmd/sassafrasspur-soak/main.go
+++ b/cmd/sassafrasspur-soak/main.go
@@ -13,7 +13,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/runner"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/runner"
 )
 
 const (
--- a/entry.go
+++ b/entry.go
@@ -12,39 +12,24 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
-	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
-	"github.com/sassafrasspur/sassafrasspur/internal/discoverer"
 	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
-	"github.com/sassafrasspur/sassafrasspur/internal/entrylogger"
 	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
-	"github.com/sassafrasspur/sassafrasspur/internal/filter/drainer"
-	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
-	"github.com/sassafrasspur/sassafrasspur/internal/filter/pathfinder"
-	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
-	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
-	"github.com/sassafrasspur/sassafrasspur/internal/granter"
-	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/meter"
 	"github.com/sassafrasspur/sassafrasspur/internal/peerlink"
 	"github.com/sassafrasspur/sassafrasspur/internal/programrows"
 	"github.com/sassafrasspur/sassafrasspur/internal/relay"
-	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
-	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
-	"github.com/sassafrasspur/sassafrasspur/internal/subscriber"
 	"github.com/sassafrasspur/sassafrasspur/internal/sweeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
-	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/platform"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
@@ -66,9 +51,12 @@
 	killMargin = time.Second
 	// idleSweep spaces the closing of idle connections to upstreams.
 	idleSweep = 2 * time.Second
-	// fallbackBody and fallbackIdle hold until the routes are known.
+	// fallbackBody holds until the routes are known.
 	fallbackBody unit.Bytes = 4 << 20
-	fallbackIdle            = 15 * time.Second
+	// callerIdle is how long idle connections of callers stay open. Callers use
+	// connections again that were idle for less than the operator's limit, 15 s
+	// on the known deployments.
+	callerIdle = time.Minute
 )
 
 // Entry is the process of an entry VM on a deployment whose state is in the
@@ -128,36 +116,6 @@
 	return e, nil
 }
 
-func (e *Entry) startEntryControl(ctx context.Context, store rows.Store) {
-	s := e.settings
-	seed := uuid.New()
-	e.control = executor.New(
-		executor.WithTimers(e.timers),
-		executor.WithPerformer(storeworker.New(ctx, store, e.timers)),
-		executor.WithObserver(entrylogger.New(e.log, e.meter)),
-		executor.WithControllers(
-			subscriber.New(platform.RoutesTable, platform.DecodeRoutes, e.report("routes rejected")),
-			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, e.report("upstream rejected")),
-			enroller.New(e.self(), uuid.NewString()),
-			balancer.New(balancer.Place{Domain: s.Domain, Region: s.Region, Regions: s.Regions}, uint64(seed.ID())),
-		),
-	)
-}
-
-// entryChain sets down the order in which every request passes the filters.
-func (e *Entry) entryChain(store rows.Store) traffic.Handler {
-	var replicas upstream.Caller = platform.NewReplicas(e.links)
-	members := func() []snapshot.Member { return e.view().Members }
-	return traffic.Chain(
-		reporter.New(e.log, e.meter, e.timers),
-		drainer.New(e.control.Snapshot, acceptFor),
-		pathfinder.New(e.control.Snapshot),
-		turnrecorder.New(e.settings.Domain,
-			granter.New(e.settings.VM, e.budgets, e.peers, members), ledger.New(store, e.timers), e.timers),
-		forwarder.New(e.control, replicas, e.timers),
-	)
-}
-
 // observeStore measures a call of the store.
 func (e *Entry) observeStore(c platform.StoreCall) {
 	kind := "read"
@@ -217,7 +175,7 @@
 	e.callers = &http.Server{
 		Handler:           platform.NewIngress(handler, e.timers, leaving, maxBody),
 		ReadHeaderTimeout: headerLimit,
-		IdleTimeout:       fallbackIdle,
+		IdleTimeout:       callerIdle,
 	}
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { e.meter.WritePrometheus(w) })
--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -155,12 +155,12 @@
 	return response.StatusCode
 }
 
-func (d *deployment) close() {
+func (d *deployment) close(g *WithT) {
 	for _, v := range d.vms {
 		v.stop()
 	}
 	for _, v := range d.vms {
-		<-v.done
+		g.Expect(<-v.done).To(Succeed(), "%s stops cleanly", v.settings.VM)
 	}
 	for _, server := range d.servers {
 		server.Close()
@@ -256,7 +256,7 @@
 func TestEntrySession(t *testing.T) {
 	g := NewWithT(t)
 	d := newDeployment(g, 2)
-	defer d.close()
+	defer d.close(g)
 	g.Expect(goldentest.Check("testdata/*.txtar", d.decide())).To(Succeed())
 }
 
@@ -265,7 +265,7 @@
 func TestEntryFollowsRoutes(t *testing.T) {
 	g := NewWithT(t)
 	d := newDeployment(g, 1)
-	defer d.close()
+	defer d.close(g)
 	look := func() string {
 		return d.send(d.vms[0], http.MethodGet, "/look/x", map[string]string{"X-Attempt-Id": "look"}, "")[:3]
 	}
@@ -281,7 +281,7 @@
 func TestEntryLeaves(t *testing.T) {
 	g := NewWithT(t)
 	d := newDeployment(g, 2)
-	defer d.close()
+	defer d.close(g)
 	resolve := func() string { return d.resolve(g, d.vms[1]) }
 	d.vms[0].stop()
 	for i := range 20 {
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -17,10 +17,12 @@
 	budgetsTable rows.Table = "budgets"
 	// budgetKey is the row that every transaction on a program's budget
 	// replaces or names.
-	budgetKey  rows.Key = "budget"
-	partPrefix          = "part/"
+	budgetKey rows.Key = "budget"
 )
 
+// partPrefix begins the keys of the parts of a budget.
+const partPrefix = "part/"
+
 // budgetRow is the sum of all parts that were taken from a budget.
 type budgetRow struct {
 	Taken unit.Tokens `json:"taken"`
--- a/internal/ledger/rows.go
+++ b/internal/ledger/rows.go
@@ -17,7 +17,11 @@
 	// continues.
 	indexTable rows.Table = "turn_programs"
 	indexKey   rows.Key   = "program"
-	turnPrefix            = "turn/"
+)
+
+const (
+	// turnPrefix begins the keys of turns.
+	turnPrefix = "turn/"
 	// textChunk bounds the text in one row in bytes. Rows hold 64 KiB, in which
 	// base64 leaves 48 KiB.
 	textChunk = 40 << 10
--- a/internal/soak/runner/caller.go
+++ b/internal/standin/soak/runner/caller.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/checker"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/checker"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
--- a/internal/soak/runner/faults.go
+++ b/internal/standin/soak/runner/faults.go
@@ -6,9 +6,9 @@
 	"syscall"
 	"time"
 
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/proxier"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/replica"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/proxier"
 )
 
 // fault disturbs the deployment until its context ends, and repairs what it did.
--- a/internal/soak/runner/runner.go
+++ b/internal/standin/soak/runner/runner.go
@@ -18,11 +18,11 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/checker"
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/proxier"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/replica"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowserver"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/checker"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/proxier"
 )
 
 const (
--- a/internal/soak/runner/runner_test.go
+++ b/internal/standin/soak/runner/runner_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/runner"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/runner"
 )
 
 // seeds are run on each change. Seeds that ever failed stay, with their cause.
--- a/internal/soak/runner/vm.go
+++ b/internal/standin/soak/runner/vm.go
@@ -15,7 +15,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/sassafrasspur/sassafrasspur/internal/soak/proxier"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/proxier"
 )
 
 // readyLimit bounds the start of a VM.
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -32,7 +32,7 @@
 // decider keeps the controller from line to line.
 func decider() func(line string) string {
 	var rejected []string
-	s := subscriber.New(table, decode, func(err error) { rejected = append(rejected, "rejected") })
+	s := subscriber.New(table, decode, func(error) { rejected = append(rejected, "rejected") })
 	now := time.Unix(0, 0)
 	s.Handle(now, message.Started{})
 	return func(line string) string {
