--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -94,7 +94,7 @@
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		return message.ChooseUpstream{
 			Ticket: t, Pool: f.x.Pool, Route: f.x.Route, Affinity: affinity(f.x), Prompt: f.x.Request.Prompt,
-			Tried: f.tried, Deadline: f.x.Deadline,
+			Tried: f.tried,
 		}
 	})
 	if err != nil {
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -59,8 +59,7 @@
 	Affinity string
 	Prompt   *traffic.Prompt
 	// Tried lists the upstreams that were tried for the same request.
-	Tried    []ident.UpstreamID
-	Deadline time.Time
+	Tried []ident.UpstreamID
 }
 
 // UpstreamResult says how a call to an upstream went. The interface is sealed:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -143,15 +143,6 @@
 	return nil, false
 }
 
-// Routes calls visit for all routes.
-func (t *Table) Routes(visit func(*Route)) {
-	for _, of := range t.hosts {
-		for _, route := range of {
-			visit(route)
-		}
-	}
-}
-
 // Destination returns the pool of a request. Requests spread over the route's
 // pools by weight; one request id always has the same pool.
 func (r *Route) Destination(id ident.RequestID) (ident.PoolID, bool) {
