--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -145,7 +145,7 @@
 			return grant, nil
 		}
 		if wait.owned {
-			e.run(ctx, r, wait.fetch)
+			go e.run(context.WithoutCancel(ctx), r, wait.fetch)
 		}
 		select {
 		case <-wait.fetch.done:
@@ -195,8 +195,11 @@
 	return Grant{}, &pending{fetch: started, owned: true}
 }
 
-// run carries a fetch out.
+// run carries a fetch out. It goes on if the turn that started it is given up,
+// since other turns may wait for it.
 func (e *Escrow) run(ctx context.Context, r Request, f *fetch) {
+	ctx, cancel := context.WithTimeout(ctx, e.limit)
+	defer cancel()
 	e.use(r.Program)
 	grown, a, err := e.grow(ctx, r, f.part, f.account)
 	e.mu.Lock()
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -201,6 +201,37 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// Guards against a turn that is refused because another turn of the program, for
+// which the store was asked, is given up.
+func TestCallerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	keeper := rowkeeper.New()
+	e := escrow.New(ctx, keeper, timer.New())
+	r := escrow.Request{Program: "program", Budget: 1000, Largest: 10}
+	first, leave := context.WithCancel(ctx)
+	refused := make(chan struct{})
+	tries := 0
+	keeper.Inject(func(bool) rowkeeper.Fault {
+		if tries++; tries == 1 {
+			close(refused)
+			return rowkeeper.Refuse{}
+		}
+		return nil
+	})
+	go func() {
+		_, err := e.Take(first, r)
+		if err == nil {
+			t.Error("a turn that was given up has a grant")
+		}
+	}()
+	<-refused
+	leave()
+	_, err := e.Take(ctx, r)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against a program whose budget is spent and that is told to come again.
 func TestSpentBudget(t *testing.T) {
 	g := NewWithT(t)
