escrow, entrytest: tests without data races

A fetch now goes on beside the test, so that the hook of the store and the draws of the oracle could run at once; the race detector named both. The hook hands its answer over, and draws are made before.

--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,11 +199,10 @@
 // the following ones.
 func (d *deployment) behaviour(name string) {
 	behaviours := map[string]replica.Behaviour{"shed": replica.Shed{}, "break": replica.Break{After: 1}, "garble": replica.Garble{}}
-	left := behaviours[name]
+	var used atomic.Bool
 	for _, r := range d.replicas {
 		r.Decide(func(replica.Run) replica.Behaviour {
-			if b := left; b != nil {
-				left = nil
+			if b := behaviours[name]; b != nil && !used.Swap(true) {
 				return b
 			}
 			return replica.Serve{}
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,12 +23,21 @@
 // transaction of one VM.
 type hooked struct {
 	rows.Store
+	mu     sync.Mutex
 	before func()
 }
 
+// set sets what the next transaction waits for, and returns what was not run.
+func (h *hooked) set(before func()) func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	unused := h.before
+	h.before = before
+	return unused
+}
+
 func (h *hooked) Commit(ctx context.Context, t rows.Transaction) (rows.Outcome, error) {
-	if before := h.before; before != nil {
-		h.before = nil
+	if before := h.set(nil); before != nil {
 		before()
 	}
 	return h.Store.Commit(ctx, t)
@@ -81,23 +91,44 @@
 	return w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(w.t, "vm")]
 }
 
+// request draws a turn of the program.
+func (w *world) request() escrow.Request {
+	return escrow.Request{Program: "program", Budget: budget, Largest: unit.Tokens(rapid.IntRange(1, 50).Draw(w.t, "largest"))}
+}
+
 func (w *world) take(vm *escrow.Escrow) {
-	r := escrow.Request{Program: "program", Budget: budget, Largest: unit.Tokens(rapid.IntRange(1, 50).Draw(w.t, "largest"))}
-	grant, err := vm.Take(context.Background(), r)
+	grant, err := vm.Take(context.Background(), w.request())
+	w.taken(vm, grant, err)
+}
+
+// taken notes the answer to a turn.
+func (w *world) taken(vm *escrow.Escrow, grant escrow.Grant, err error) {
 	if err != nil {
 		w.g.Expect(failure.From(err).NotRun).To(BeTrue(), "a turn without a grant does not run")
 		return
 	}
-	w.largest = max(w.largest, r.Largest)
+	w.largest = max(w.largest, grant.Largest)
 	w.open = append(w.open, open{vm: vm, grant: grant})
 }
 
 // race lets the second VM take between the reads and the transaction of the
 // first.
 func (w *world) race() {
-	w.first.before = func() { w.take(w.vms[1]) }
+	request := w.request()
+	type answer struct {
+		grant escrow.Grant
+		err   error
+	}
+	answers := make(chan answer, 1)
+	w.first.set(func() {
+		grant, err := w.vms[1].Take(context.Background(), request)
+		answers <- answer{grant, err}
+	})
 	w.take(w.vms[0])
-	w.first.before = nil
+	if w.first.set(nil) == nil {
+		a := <-answers
+		w.taken(w.vms[1], a.grant, a.err)
+	}
 }
 
 func (w *world) finish() {
