drainer, soak, platform: no request is under way when a VM stops

Ruled out: a request that outlives its deadline (the context ends it), the flush of budgets (it comes after the error).

Change: a request is accepted late only if its deadline comes 1.6 s before the end of the grace, or in the first 2.4 s. Requests with a short limit are now served for longer (1.5 s: 4.9 s instead of 3 s).

--- a/entry.go
+++ b/entry.go
@@ -42,10 +42,12 @@
 	// are still accepted: the interval of the list of VMs and the longest time
 	// for which callers keep an address.
 	leaveAfter = 5 * time.Second
-	// acceptFor is the time from the request to stop during which requests are
-	// accepted. Those that come later could not be finished before the end of
-	// the grace, 8 s, if they take 4 s.
-	acceptFor = 3 * time.Second
+	// usualTime is the time in which almost all requests end. Routes of the known
+	// deployments allow up to 6 s, which only a silent upstream takes.
+	usualTime = 4 * time.Second
+	// closePoll is the longest time until http.Server.Shutdown notices that the
+	// last request has ended, 0.5 s, and the time to write its answer.
+	closePoll = 600 * time.Millisecond
 	// killMargin is the time before the process would be killed at which it
 	// stops by itself. A VM that runs slowly needs more than half a second.
 	killMargin = time.Second
@@ -156,6 +158,12 @@
 	return snapshot.Entry{}
 }
 
+// finishBy is the time from the request to stop by which requests must have
+// ended to be finished within the grace.
+func (e *Entry) finishBy() time.Duration {
+	return max(0, e.settings.Grace-killMargin-closePoll)
+}
+
 func (e *Entry) listen(ctx context.Context, handler traffic.Handler) error {
 	peers, err := net.Listen("tcp", peerAddress(e.settings))
 	if err != nil {
@@ -243,8 +251,11 @@
 	defer cancel()
 	err := e.callers.Shutdown(closing)
 	for _, server := range e.servers {
-		if server != e.callers {
-			_ = server.Close()
+		if server == e.callers {
+			continue
+		}
+		if closed := server.Close(); closed != nil {
+			e.log.Warn().Err(closed).Msg("address of this VM not closed")
 		}
 	}
 	e.budgets.Flush(closing)
--- a/entry_chain.go
+++ b/entry_chain.go
@@ -21,8 +21,8 @@
 	members := func() []snapshot.Member { return e.view().Members }
 	return traffic.Chain(
 		reporter.New(e.log, e.meter, e.timers),
-		drainer.New(e.control.Snapshot, acceptFor),
 		pathfinder.New(e.control.Snapshot),
+		drainer.New(e.control.Snapshot, max(0, e.finishBy()-usualTime), e.finishBy()),
 		turnrecorder.New(e.settings.Domain,
 			granter.New(e.settings.VM, e.budgets, e.peers, members), ledger.New(store, e.timers), e.timers),
 		forwarder.New(e.control, replicas, e.timers),
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -36,7 +36,6 @@
 
 // Discoverer keeps the upstreams.
 type Discoverer struct {
-	table  rows.Table
 	decode func(rows.Row) (upstream.Upstream, error)
 	reject func(error)
 
@@ -46,7 +45,7 @@
 	// outage; they are kept until lapsedUntil.
 	lapsed      map[ident.UpstreamID]upstream.Upstream
 	lapsedUntil time.Time
-	pacer       pacer.Pacer
+	reader      pacer.Reader
 	rejected    map[rows.Key]bool
 }
 
@@ -54,7 +53,7 @@
 // that names no upstream is given to reject once.
 func New(table rows.Table, decode func(rows.Row) (upstream.Upstream, error), reject func(error)) *Discoverer {
 	return &Discoverer{
-		table: table, decode: decode, reject: reject,
+		reader: pacer.NewReader(table), decode: decode, reject: reject,
 		known: map[ident.UpstreamID]upstream.Upstream{}, rejected: map[rows.Key]bool{},
 	}
 }
@@ -62,33 +61,23 @@
 // Handle follows the list.
 func (d *Discoverer) Handle(now time.Time, m message.Message) []effect.Effect {
 	switch m := m.(type) {
-	case message.Started:
-		return d.read()
-	case message.Tick:
-		due, effects := d.pacer.Tick(now)
-		if due {
-			return d.read()
-		}
-		return effects
+	case message.Started, message.Tick:
+		return d.reader.Handle(now, m)
 	case message.RowsRead:
-		if m.Range.Table == d.table {
+		if d.reader.Answers(m) {
 			return d.took(now, m)
 		}
 	}
 	return nil
 }
 
-func (d *Discoverer) read() []effect.Effect {
-	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: d.table}}}
-}
-
 func (d *Discoverer) took(now time.Time, m message.RowsRead) []effect.Effect {
 	next := m.SentAt.Add(readInterval)
 	if earliest := now.Add(readInterval / 4); next.Before(earliest) {
 		next = earliest
 	}
 	if m.Err != nil {
-		return []effect.Effect{d.pacer.Set(next)}
+		return []effect.Effect{d.reader.Set(next)}
 	}
 	before := d.known
 	d.known = d.decodeAll(m.Page.Rows)
@@ -101,7 +90,7 @@
 		next = d.lapsedUntil
 	}
 	return []effect.Effect{
-		d.pacer.Set(next), effect.Publish{},
+		d.reader.Set(next), effect.Publish{},
 		effect.Send{Message: message.UpstreamsRead{Upstreams: d.list(), AsOf: d.asOf}},
 	}
 }
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -58,25 +58,19 @@
 	leavingSince time.Time
 	members      []snapshot.Member
 	asOf         time.Time
-	pacer        pacer.Pacer
+	reader       pacer.Reader
 }
 
 // New returns the controller of a VM.
 func New(self snapshot.Member, process string) *Enroller {
-	return &Enroller{self: self, process: process}
+	return &Enroller{reader: pacer.NewReader(table), self: self, process: process}
 }
 
 // Handle follows the rows.
 func (e *Enroller) Handle(now time.Time, m message.Message) []effect.Effect {
 	switch m := m.(type) {
-	case message.Started:
-		return e.read()
-	case message.Tick:
-		due, effects := e.pacer.Tick(now)
-		if due {
-			return e.read()
-		}
-		return effects
+	case message.Started, message.Tick:
+		return e.reader.Handle(now, m)
 	case message.RoutesChanged:
 		if !e.routed {
 			e.routed = true
@@ -86,28 +80,24 @@
 		e.leaving, e.leavingSince = true, now
 		return append(e.hasten(now), effect.Publish{})
 	case message.RowsRead:
-		if m.Range.Table == table {
+		if e.reader.Answers(m) {
 			return e.took(now, m)
 		}
 	}
 	return nil
 }
 
-func (e *Enroller) read() []effect.Effect {
-	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: table}}}
-}
-
 // hasten reads, and then writes, without waiting for the interval. A read that
 // is under way serves as well.
 func (e *Enroller) hasten(now time.Time) []effect.Effect {
-	if !e.pacer.IsSet() {
+	if !e.reader.IsSet() {
 		return nil
 	}
-	return []effect.Effect{e.pacer.Set(now)}
+	return []effect.Effect{e.reader.Set(now)}
 }
 
 func (e *Enroller) took(now time.Time, m message.RowsRead) []effect.Effect {
-	effects := []effect.Effect{e.pacer.Set(now.Add(interval))}
+	effects := []effect.Effect{e.reader.Set(now.Add(interval))}
 	if m.Err != nil {
 		return effects
 	}
--- a/internal/filter/drainer/drainer.go
+++ b/internal/filter/drainer/drainer.go
@@ -16,20 +16,23 @@
 
 // Drainer refuses late requests.
 type Drainer struct {
-	view  func() *snapshot.Snapshot
-	after time.Duration
+	view     func() *snapshot.Snapshot
+	after    time.Duration
+	finishBy time.Duration
 }
 
-// New returns the filter. Requests are served for a time after the request to
-// stop, because callers keep addresses for a while.
-func New(view func() *snapshot.Snapshot, after time.Duration) *Drainer {
-	return &Drainer{view: view, after: after}
+// New returns the filter. Callers keep addresses for a while, so requests are
+// still served after the request to stop: all of them for the time after, and
+// later those whose deadline comes before finishBy.
+func New(view func() *snapshot.Snapshot, after, finishBy time.Duration) *Drainer {
+	return &Drainer{view: view, after: after, finishBy: finishBy}
 }
 
 // Serve refuses a request that comes too late; it did not run.
 func (d *Drainer) Serve(ctx context.Context, x *traffic.Exchange, next traffic.Handler) error {
-	if entry := d.view().Entry; entry.Leaving && x.Arrived.Sub(entry.LeavingSince) > d.after {
-		return failure.Refusal(failure.ShuttingDown, leavingDelay, "this VM stops; ask for addresses and repeat the request at another")
+	entry := d.view().Entry
+	if !entry.Leaving || x.Arrived.Sub(entry.LeavingSince) <= d.after || x.Deadline.Sub(entry.LeavingSince) <= d.finishBy {
+		return next(ctx, x)
 	}
-	return next(ctx, x)
+	return failure.Refusal(failure.ShuttingDown, leavingDelay, "this VM stops; ask for addresses and repeat the request at another")
 }
--- a/internal/standin/soak/runner/runner_test.go
+++ b/internal/standin/soak/runner/runner_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,3 +41,20 @@
 		g.Expect(report.Answers[200]).To(BeNumerically(">", 0), "seed %d served nothing", seed)
 	}
 }
+
+// Guards against processes that outlive a soak one of whose VMs does not start.
+func TestSoakThatCannotStart(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	binary, pid := filepath.Join(dir, "entry"), filepath.Join(dir, "pid")
+	// The first process ends, the second stays.
+	script := "#!/bin/sh\ncase \"$2\" in *vm-0*) sleep 0.5; exit 3;; esac\necho $$ > " + pid + "\nexec sleep 60\n"
+	g.Expect(os.WriteFile(binary, []byte(script), 0o700)).To(Succeed())
+	_, err := runner.New(runner.Options{Binary: binary, Dir: dir, Seed: 1, For: time.Second, VMs: 2}).Run(context.Background())
+	g.Expect(err).To(MatchError(ContainSubstring("ended before it answered")))
+	text, err := os.ReadFile(pid)
+	g.Expect(err).NotTo(HaveOccurred())
+	n, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(syscall.Kill(n, 0)).To(MatchError(syscall.ESRCH))
+}
--- a/internal/standin/soak/runner/vm.go
+++ b/internal/standin/soak/runner/vm.go
@@ -154,8 +154,16 @@
 }
 
 func (v *vm) await(enough func(status int) bool) error {
+	v.mu.Lock()
+	done := v.done
+	v.mu.Unlock()
 	deadline := time.Now().Add(readyLimit)
 	for time.Now().Before(deadline) {
+		select {
+		case <-done:
+			return errors.Errorf("%s ended before it answered: %v", v.name, v.wait())
+		default:
+		}
 		status := 0
 		if response, err := http.Get("http://" + v.readiness + "/api/readyz"); err == nil {
 			_ = response.Body.Close()
@@ -183,11 +191,15 @@
 	return errors.Annotatef(err, "signal %s", v.name)
 }
 
-// wait waits until the process has ended and returns its exit.
+// wait waits until the process has ended and returns its exit. A VM that was never
+// started has none.
 func (v *vm) wait() error {
 	v.mu.Lock()
 	done := v.done
 	v.mu.Unlock()
+	if done == nil {
+		return nil
+	}
 	<-done
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -34,29 +34,23 @@
 	asOf   time.Time
 	// seen is the version of the store up to which changes are known.
 	seen rows.Version
-	// pacer has the next read, none while a request to the store is under way.
-	pacer pacer.Pacer
+	// reader has the next read, none while a request to the store is under way.
+	reader pacer.Reader
 }
 
 // New returns the controller for the routes in a table. Rows that can't be
 // decoded are given to reject and change nothing.
 func New(table rows.Table, decode func(rows.Row) (*routing.Table, error), reject func(error)) *Subscriber {
-	return &Subscriber{table: table, decode: decode, reject: reject}
+	return &Subscriber{reader: pacer.NewReader(table), table: table, decode: decode, reject: reject}
 }
 
 // Handle follows the routes.
 func (s *Subscriber) Handle(now time.Time, m message.Message) []effect.Effect {
 	switch m := m.(type) {
-	case message.Started:
-		return s.read()
-	case message.Tick:
-		due, effects := s.pacer.Tick(now)
-		if due {
-			return s.read()
-		}
-		return effects
+	case message.Started, message.Tick:
+		return s.reader.Handle(now, m)
 	case message.RowsRead:
-		if m.Range.Table == s.table {
+		if s.reader.Answers(m) {
 			return s.took(now, m.Page, m.Err, m.SentAt)
 		}
 	case message.RowsChanged:
@@ -67,14 +61,10 @@
 	return nil
 }
 
-func (s *Subscriber) read() []effect.Effect {
-	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: s.table}}}
-}
-
 // took applies what the store said and asks for what comes next.
 func (s *Subscriber) took(now time.Time, page rows.Page, err error, sent time.Time) []effect.Effect {
 	if err != nil {
-		return []effect.Effect{s.pacer.Set(now.Add(readPause))}
+		return []effect.Effect{s.reader.Set(now.Add(readPause))}
 	}
 	s.seen, s.asOf = page.Version, sent
 	effects := []effect.Effect{effect.WatchRows{Table: s.table, After: s.seen, Wait: watchWait}, effect.Publish{}}
