--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -46,7 +46,9 @@
 	done     chan error
 }
 
-func newDeployment(g *WithT, vms int) *deployment { return newDeploymentWithGrace(g, vms, 4*time.Second) }
+func newDeployment(g *WithT, vms int) *deployment {
+	return newDeploymentWithGrace(g, vms, 4*time.Second)
+}
 
 func newDeploymentWithGrace(g *WithT, vms int, grace time.Duration) *deployment {
 	d := &deployment{grace: grace, keeper: rowkeeper.New(), replicas: map[ident.UpstreamID]*replica.Replica{}, client: &http.Client{}}
