--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -52,6 +52,24 @@
 	MaxTokens unit.Tokens     `json:"max_tokens"`
 }
 
+// Amount is a part of a budget.
+type Amount struct {
+	Calls  unit.Calls  `json:"calls"`
+	Tokens unit.Tokens `json:"tokens"`
+}
+
+// Add returns the sum of two amounts.
+func (a Amount) Add(b Amount) Amount {
+	return Amount{Calls: a.Calls + b.Calls, Tokens: a.Tokens + b.Tokens}
+}
+
+// Holder is the process that works on an attempt. Once it has ended, nobody will
+// record the attempt's end.
+type Holder struct {
+	VM      ident.VMID      `json:"vm"`
+	Process ident.ProcessID `json:"process"`
+}
+
 // Opened starts a program.
 type Opened struct {
 	Program ident.ProgramID `json:"program"`
@@ -59,53 +77,66 @@
 	Class   ident.Class     `json:"class"`
 	// Budget is set for root programs only.
 	Budget Budget `json:"budget"`
-	// Allowance is the part of the budget that is durably taken ahead.
-	Allowance Allowance `json:"allowance"`
 }
 
-// Allowance is the cumulative part of the budget that may be spent or reserved
-// without another durable record. After a crash, what was not settled of it
-// counts as spent.
-type Allowance struct {
-	Calls  unit.Calls  `json:"calls"`
-	Tokens unit.Tokens `json:"tokens"`
-}
-
-// Extended raises the allowance of a root program.
-type Extended struct {
-	Program   ident.ProgramID `json:"program"`
-	Allowance Allowance       `json:"allowance"`
+// Started precedes each attempt of a call. What the attempt may spend at most
+// is reserved until its end is recorded.
+type Started struct {
+	Program    ident.ProgramID `json:"program"`
+	Request    Request         `json:"request"`
+	BodyHash   uint64          `json:"body_hash"`
+	Attempt    ident.Attempt   `json:"attempt"`
+	Need       Amount          `json:"need"`
+	Repeatable bool            `json:"repeatable"`
+	Holder     Holder          `json:"holder"`
 }
 
 // Intended precedes the dispatch of a call that must not be repeated.
 type Intended struct {
 	Program  ident.ProgramID  `json:"program"`
-	Request  Request          `json:"request"`
-	BodyHash uint64           `json:"body_hash"`
+	Call     ident.CallID     `json:"call"`
 	Attempt  ident.Attempt    `json:"attempt"`
 	Upstream ident.UpstreamID `json:"upstream"`
-	Epoch    ident.Epoch      `json:"epoch"`
 }
 
-// Cancelled says that an intended attempt was not dispatched and never will be.
+// Cancelled says that an intended attempt was not dispatched to the upstream
+// and never will be. The attempt goes on.
 type Cancelled struct {
 	Program ident.ProgramID `json:"program"`
 	Call    ident.CallID    `json:"call"`
 	Attempt ident.Attempt   `json:"attempt"`
 }
 
-// Completed holds the request and the whole answer of a call.
+// Failed ends an attempt without an answer. The call may be started again.
+type Failed struct {
+	Program ident.ProgramID `json:"program"`
+	Call    ident.CallID    `json:"call"`
+	Attempt ident.Attempt   `json:"attempt"`
+	// Dispatched is true if the attempt may have run.
+	Dispatched bool `json:"dispatched"`
+	// Usage is what the attempt spent at most.
+	Usage Usage `json:"usage"`
+	// Upstream may hold engine memory of the program; empty if none does.
+	Upstream ident.UpstreamID `json:"upstream"`
+}
+
+// Doubted ends an intended attempt without an answer. The call may have run and
+// must not be started again.
+type Doubted struct {
+	Program ident.ProgramID `json:"program"`
+	Call    ident.CallID    `json:"call"`
+	Attempt ident.Attempt   `json:"attempt"`
+}
+
+// Completed holds the whole answer of a call.
 type Completed struct {
 	Program  ident.ProgramID  `json:"program"`
-	Request  Request          `json:"request"`
-	BodyHash uint64           `json:"body_hash"`
+	Call     ident.CallID     `json:"call"`
 	Attempt  ident.Attempt    `json:"attempt"`
 	Upstream ident.UpstreamID `json:"upstream"`
 	Answer   Answer           `json:"answer"`
 	// Resident is true if the upstream holds engine memory of the program.
 	Resident bool `json:"resident"`
-	// Allowance is the root program's allowance from now on.
-	Allowance Allowance `json:"allowance"`
 }
 
 // Resolved settles an unknown outcome.
@@ -119,12 +150,6 @@
 	By string `json:"by"`
 }
 
-// Charged charges what an attempt without an answer spent.
-type Charged struct {
-	Program ident.ProgramID `json:"program"`
-	Usage   Usage           `json:"usage"`
-}
-
 // Ended ends a program. Its engine memory is to be released.
 type Ended struct {
 	Program ident.ProgramID `json:"program"`
@@ -141,7 +166,7 @@
 func (r Opened) Subject() ident.ProgramID { return r.Program }
 
 // Subject returns the program of the record.
-func (r Extended) Subject() ident.ProgramID { return r.Program }
+func (r Started) Subject() ident.ProgramID { return r.Program }
 
 // Subject returns the program of the record.
 func (r Intended) Subject() ident.ProgramID { return r.Program }
@@ -150,13 +175,16 @@
 func (r Cancelled) Subject() ident.ProgramID { return r.Program }
 
 // Subject returns the program of the record.
-func (r Completed) Subject() ident.ProgramID { return r.Program }
+func (r Failed) Subject() ident.ProgramID { return r.Program }
 
 // Subject returns the program of the record.
-func (r Resolved) Subject() ident.ProgramID { return r.Program }
+func (r Doubted) Subject() ident.ProgramID { return r.Program }
+
+// Subject returns the program of the record.
+func (r Completed) Subject() ident.ProgramID { return r.Program }
 
 // Subject returns the program of the record.
-func (r Charged) Subject() ident.ProgramID { return r.Program }
+func (r Resolved) Subject() ident.ProgramID { return r.Program }
 
 // Subject returns the program of the record.
 func (r Ended) Subject() ident.ProgramID { return r.Program }
@@ -165,11 +193,19 @@
 func (r Released) Subject() ident.ProgramID { return r.Program }
 
 func (Opened) sealed()    {}
-func (Extended) sealed()  {}
+func (Started) sealed()   {}
 func (Intended) sealed()  {}
 func (Cancelled) sealed() {}
+func (Failed) sealed()    {}
+func (Doubted) sealed()   {}
 func (Completed) sealed() {}
 func (Resolved) sealed()  {}
-func (Charged) sealed()   {}
 func (Ended) sealed()     {}
 func (Released) sealed()  {}
+
+// AttemptID names one attempt of a call.
+type AttemptID struct {
+	Program ident.ProgramID
+	Call    ident.CallID
+	Attempt ident.Attempt
+}
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -1,9 +1,9 @@
 // Package releaser frees the engine memory of ended programs.
 //
-// A release is repeated until the engine confirms it. What is to be released
-// follows from the durable state of the shards that the node owns, so that the
-// next owner of a shard goes on where this one stopped. Releases converge: one
-// that an engine receives twice, or from an old owner, changes nothing more.
+// A release is repeated until the engine confirms it. The VM that records the
+// end of a program asks for it; memory that is left over because that VM is gone
+// is found by comparing what engines hold with the programs. Releases converge:
+// one that an engine receives twice changes nothing more.
 package releaser
 
 import (
@@ -15,21 +15,29 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/sharer"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 )
 
-// maxDelay bounds the time between two tries of a release.
-const maxDelay = 10 * time.Second
+const (
+	// maxDelay bounds the time between two tries of a release.
+	maxDelay = 10 * time.Second
+	// checkLimit bounds the programs of one look at an engine's memory, each of
+	// which is a read of the platform's store.
+	checkLimit = 20
+)
 
 // Releaser is the controller of releases.
 type Releaser struct {
 	firstDelay    time.Duration
 	sweepInterval time.Duration
 	configuration *configuration.Configuration
-	leaseUntil    time.Time
+	share         sharer.Sharer
 	pending       map[key]*release
 	sweepAt       time.Time
 	sweepPosition int
+	// checked is the last program that was looked at in each engine's memory.
+	checked map[ident.UpstreamID]ident.ProgramID
 }
 
 type key struct {
@@ -59,12 +67,14 @@
 	return func(r *Releaser) { r.sweepInterval = interval }
 }
 
-// New returns a releaser with nothing to release.
-func New(options ...Option) *Releaser {
+// New returns the releaser of a VM, with nothing to release.
+func New(self ident.VMID, options ...Option) *Releaser {
 	r := &Releaser{
 		firstDelay:    500 * time.Millisecond,
 		sweepInterval: 2 * time.Second,
+		share:         sharer.New(self),
 		pending:       map[key]*release{},
+		checked:       map[ident.UpstreamID]ident.ProgramID{},
 	}
 	for _, option := range options {
 		option(r)
@@ -81,14 +91,10 @@
 		return r.done(now, m)
 	case message.ConfigurationRead:
 		r.configure(m.Configuration)
-	case message.PeerHeard:
-		r.configure(m.Configuration)
-	case message.LeaseChanged:
-		r.leaseUntil = m.Until
-	case message.ShardClosed:
-		r.drop(m.Shard)
-	case message.Fenced:
-		clear(r.pending)
+	case message.CacheRead:
+		return r.compare(m)
+	case message.MembersListed:
+		r.share.Update(m)
 	case message.Tick, message.Started:
 		return append(r.tick(now), r.sweep(now)...)
 	}
@@ -113,24 +119,15 @@
 	return r.tick(now)
 }
 
-func (r *Releaser) drop(shard ident.Shard) {
-	for k, p := range r.pending {
-		if p.wanted.Shard == shard {
-			delete(r.pending, k)
-		}
-	}
-}
-
-// tick tries the releases that are due. The lease is checked just before an
-// order is sent, because some engines do not check fencing numbers.
+// tick tries the releases that are due.
 func (r *Releaser) tick(now time.Time) []effect.Effect {
 	var effects []effect.Effect
 	for _, p := range r.sorted() {
 		if p.waiting {
 			continue
 		}
-		if now.Before(p.nextAt) || !now.Before(r.leaseUntil) {
-			effects = append(effects, effect.WakeAt{Time: later(p.nextAt, now.Add(r.firstDelay))})
+		if now.Before(p.nextAt) {
+			effects = append(effects, effect.WakeAt{Time: p.nextAt})
 			continue
 		}
 		effects = append(effects, r.try(now, p)...)
@@ -146,7 +143,8 @@
 	upstream, ok := r.configuration.Upstream(p.wanted.Upstream)
 	if !ok {
 		// An upstream that was removed from the configuration serves no program.
-		return r.confirm(p.wanted)
+		delete(r.pending, key{program: p.wanted.Program, upstream: p.wanted.Upstream})
+		return nil
 	}
 	p.waiting = true
 	return []effect.Effect{effect.Release{
@@ -158,12 +156,14 @@
 }
 
 func (r *Releaser) done(now time.Time, m message.ReleaseDone) []effect.Effect {
-	p, ok := r.pending[key{program: m.Program, upstream: m.Upstream}]
+	k := key{program: m.Program, upstream: m.Upstream}
+	p, ok := r.pending[k]
 	if !ok {
 		return nil
 	}
 	if m.Err == nil {
-		return r.confirm(p.wanted)
+		delete(r.pending, k)
+		return nil
 	}
 	p.waiting = false
 	p.nextAt = now.Add(p.delay)
@@ -171,15 +171,33 @@
 	return []effect.Effect{effect.WakeAt{Time: p.nextAt}}
 }
 
-func (r *Releaser) confirm(wanted message.ReleaseWanted) []effect.Effect {
-	delete(r.pending, key{program: wanted.Program, upstream: wanted.Upstream})
-	return []effect.Effect{effect.Send{Message: message.ReleaseConfirmed{
-		Program: wanted.Program, Upstream: wanted.Upstream,
-	}}}
+// compare looks at the programs of this VM's share that an engine holds, a part
+// of them at a time and in turn.
+func (r *Releaser) compare(m message.CacheRead) []effect.Effect {
+	if m.Err != nil || !m.Complete {
+		return nil
+	}
+	var own []ident.ProgramID
+	for id := range m.Residents {
+		if r.share.Owns(string(id)) {
+			own = append(own, id)
+		}
+	}
+	slices.Sort(own)
+	after := slices.IndexFunc(own, func(id ident.ProgramID) bool { return id > r.checked[m.Upstream] })
+	if after > 0 {
+		own = append(own[after:], own[:after]...)
+	}
+	own = own[:min(checkLimit, len(own))]
+	if len(own) == 0 {
+		return nil
+	}
+	r.checked[m.Upstream] = own[len(own)-1]
+	return []effect.Effect{effect.CheckMemory{Upstream: m.Upstream, Programs: own}}
 }
 
 // sweep asks the next engine for all programs that it holds. It finds memory
-// that no record tells of, such as that of an attempt whose owner crashed.
+// that no record tells of, such as that of an attempt whose VM is gone.
 func (r *Releaser) sweep(now time.Time) []effect.Effect {
 	if now.Before(r.sweepAt) {
 		return []effect.Effect{effect.WakeAt{Time: r.sweepAt}}
@@ -223,10 +241,3 @@
 	})
 	return all
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -9,7 +9,7 @@
 // Request is what a caller asks for. The interface is sealed: the variants are
 // the types of this package.
 type Request interface {
-	// Subject is the program that decides where the request is served.
+	// Subject is the program that the request is about.
 	Subject() ident.ProgramID
 	sealed()
 }
@@ -32,8 +32,8 @@
 type Call struct {
 	Program ident.ProgramID
 	// First is the caller's statement that it has not sent this call id before.
-	// Without it a node that holds no record of the call can't promise that the
-	// call has not run.
+	// Without it another VM may be about to run the call, so that a refusal can't
+	// promise that it has not run.
 	First bool
 	record.Request
 }
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -1,9 +1,11 @@
 // Package resolver asks upstreams for the results of calls whose outcome is
 // unknown.
 //
-// Only a result that is found settles an outcome. One that is not found may
-// still come, so that the look-up is repeated until the shard is closed or an
-// operator's plan settles the outcome.
+// Calls that have an intent and no outcome are listed in the platform's store.
+// The outcome of one whose attempt has ended, or whose process is gone, is
+// unknown. Only a result that is found settles an outcome. One that is not found
+// may still come, so that the look-up is repeated until the call is no longer
+// listed.
 package resolver
 
 import (
@@ -13,20 +15,37 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/bookkeeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/sharer"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 )
 
-// maxDelay bounds the time between two look-ups of a call.
-const maxDelay = time.Minute
+const (
+	// maxDelay bounds the time between two look-ups of a call.
+	maxDelay = time.Minute
+	// listInterval spaces the reads of the list. Callers that ask for an unknown
+	// outcome give up after some seconds.
+	listInterval = 2 * time.Second
+)
 
 // Resolver is the controller of look-ups.
 type Resolver struct {
 	firstDelay    time.Duration
+	runs          func(record.Holder) bool
+	report        func(error)
+	share         sharer.Sharer
 	configuration *configuration.Configuration
-	pending       map[key]*lookUp
+	list          pacer.Pacer
+	// listed has the intents of each range of the list.
+	listed map[rows.Range][]bookkeeper.Intent
+	// known has the calls whose outcome is unknown.
+	known map[key]*lookUp
 }
 
 type key struct {
@@ -35,7 +54,7 @@
 }
 
 type lookUp struct {
-	wanted  message.LookUpWanted
+	intent  bookkeeper.Intent
 	delay   time.Duration
 	nextAt  time.Time
 	waiting bool
@@ -50,9 +69,13 @@
 	return func(r *Resolver) { r.firstDelay = first }
 }
 
-// New returns a resolver with nothing to resolve.
-func New(options ...Option) *Resolver {
-	r := &Resolver{firstDelay: time.Second, pending: map[key]*lookUp{}}
+// New returns the resolver of a VM. The function runs reports whether a process
+// runs. Rows that can't be decoded are given to report.
+func New(self ident.VMID, runs func(record.Holder) bool, report func(error), options ...Option) *Resolver {
+	r := &Resolver{
+		firstDelay: time.Second, runs: runs, report: report, share: sharer.New(self),
+		listed: map[rows.Range][]bookkeeper.Intent{}, known: map[key]*lookUp{},
+	}
 	for _, option := range options {
 		option(r)
 	}
@@ -62,61 +85,98 @@
 // Handle takes part in the control loop.
 func (r *Resolver) Handle(now time.Time, m message.Message) []effect.Effect {
 	switch m := m.(type) {
-	case message.LookUpWanted:
-		r.pending[key{m.Program, m.Call}] = &lookUp{wanted: m, delay: r.firstDelay, nextAt: now}
-		return append(r.tick(now), effect.Publish{})
+	case message.Started:
+		return r.read(now)
+	case message.Tick:
+		due, effects := r.list.Tick(now)
+		if due {
+			effects = append(effects, r.read(now)...)
+		}
+		return append(effects, r.tick(now)...)
+	case message.RowsRead:
+		return r.took(now, m)
 	case message.LookedUp:
 		return r.done(now, m)
-	case message.OutcomeSettled:
-		delete(r.pending, key{m.Program, m.Call})
-		return []effect.Effect{effect.Publish{}}
+	case message.MembersListed:
+		r.share.Update(m)
 	case message.ConfigurationRead:
-		r.configure(m.Configuration)
-	case message.PeerHeard:
-		r.configure(m.Configuration)
-	case message.ShardClosed:
-		r.drop(m.Shard)
-	case message.Fenced:
-		clear(r.pending)
-	case message.Tick:
-		return r.tick(now)
+		r.configuration = m.Configuration
 	}
 	return nil
 }
 
 // Describe adds the calls whose outcome is unknown.
 func (r *Resolver) Describe(s *snapshot.Snapshot) {
-	for _, k := range slices.SortedFunc(maps.Keys(r.pending), compareKeys) {
-		s.Unknown = append(s.Unknown, snapshot.UnknownCall{Team: r.pending[k].wanted.Team, Program: k.program, Call: k.call})
+	for _, k := range slices.SortedFunc(maps.Keys(r.known), compareKeys) {
+		s.Unknown = append(s.Unknown, snapshot.UnknownCall{Team: r.known[k].intent.Team, Program: k.program, Call: k.call})
 	}
 }
 
-func (r *Resolver) configure(next *configuration.Configuration) {
-	if next != nil && (r.configuration == nil || next.Version > r.configuration.Version) {
-		r.configuration = next
+func (r *Resolver) read(now time.Time) []effect.Effect {
+	effects := []effect.Effect{r.list.Set(now.Add(listInterval))}
+	for _, part := range bookkeeper.IntentRanges() {
+		effects = append(effects, effect.ReadRows{Range: part})
 	}
+	return effects
 }
 
-func (r *Resolver) drop(shard ident.Shard) {
-	for k, p := range r.pending {
-		if p.wanted.Shard == shard {
-			delete(r.pending, k)
+// took takes a range of the list over.
+func (r *Resolver) took(now time.Time, m message.RowsRead) []effect.Effect {
+	if !slices.Contains(bookkeeper.IntentRanges(), m.Range) || m.Err != nil {
+		return nil
+	}
+	var intents []bookkeeper.Intent
+	for _, row := range m.Page.Rows {
+		intent, err := bookkeeper.ReadIntent(row)
+		if err != nil {
+			r.report(err)
+			continue
 		}
+		intents = append(intents, intent)
+	}
+	r.listed[m.Range] = intents
+	if !r.compare(now) {
+		return r.tick(now)
 	}
+	return append(r.tick(now), effect.Publish{})
 }
 
+// compare finds the calls whose outcome is unknown, and reports whether they
+// changed.
+func (r *Resolver) compare(now time.Time) bool {
+	next := map[key]*lookUp{}
+	changed := false
+	for _, intents := range r.listed {
+		for _, intent := range intents {
+			if !intent.Doubted && r.runs(intent.Holder) {
+				continue
+			}
+			k := key{intent.Program, intent.Call}
+			next[k] = r.known[k]
+			if next[k] == nil || next[k].intent != intent {
+				next[k] = &lookUp{intent: intent, delay: r.firstDelay, nextAt: now}
+				changed = true
+			}
+		}
+	}
+	changed = changed || len(next) != len(r.known)
+	r.known = next
+	return changed
+}
+
+// tick looks up the calls of this VM's share that are due.
 func (r *Resolver) tick(now time.Time) []effect.Effect {
 	var effects []effect.Effect
-	for _, k := range slices.SortedFunc(maps.Keys(r.pending), compareKeys) {
-		p := r.pending[k]
-		if p.waiting {
+	for _, k := range slices.SortedFunc(maps.Keys(r.known), compareKeys) {
+		l := r.known[k]
+		if l.waiting || !r.share.Owns(string(k.program)) {
 			continue
 		}
-		if now.Before(p.nextAt) {
-			effects = append(effects, effect.WakeAt{Time: p.nextAt})
+		if now.Before(l.nextAt) {
+			effects = append(effects, effect.WakeAt{Time: l.nextAt})
 			continue
 		}
-		effects = append(effects, r.try(now, p)...)
+		effects = append(effects, r.try(now, l)...)
 	}
 	return effects
 }
@@ -125,45 +185,47 @@
 	return cmp.Or(cmp.Compare(a.program, b.program), cmp.Compare(a.call, b.call))
 }
 
-func (r *Resolver) try(now time.Time, p *lookUp) []effect.Effect {
-	upstream, ok := r.offers(p.wanted)
+func (r *Resolver) try(now time.Time, l *lookUp) []effect.Effect {
+	upstream, ok := r.offers(l.intent)
 	if !ok {
-		return r.later(now, p)
+		return r.later(now, l)
 	}
-	p.waiting = true
+	l.waiting = true
 	return []effect.Effect{effect.LookUp{
-		Program: p.wanted.Program,
-		Call:    p.wanted.Call,
-		Attempt: p.wanted.Attempt,
+		Program: l.intent.Program,
+		Call:    l.intent.Call,
+		Attempt: l.intent.Attempt,
 		Address: upstream.Address,
 	}}
 }
 
 // offers returns the upstream that can be asked for a call. A later plan may add
 // one, so that the call stays until its outcome is settled.
-func (r *Resolver) offers(wanted message.LookUpWanted) (configuration.Upstream, bool) {
+func (r *Resolver) offers(intent bookkeeper.Intent) (configuration.Upstream, bool) {
 	if r.configuration == nil {
 		return configuration.Upstream{}, false
 	}
-	pool, known := r.configuration.Pool(wanted.Pool)
-	upstream, listed := r.configuration.Upstream(wanted.Upstream)
+	pool, known := r.configuration.Pool(intent.Pool)
+	upstream, listed := r.configuration.Upstream(intent.Upstream)
 	return upstream, known && listed && pool.LookUp
 }
 
-func (r *Resolver) later(now time.Time, p *lookUp) []effect.Effect {
-	p.nextAt = now.Add(p.delay)
-	p.delay = min(2*p.delay, maxDelay)
-	return []effect.Effect{effect.WakeAt{Time: p.nextAt}}
+func (r *Resolver) later(now time.Time, l *lookUp) []effect.Effect {
+	l.nextAt = now.Add(l.delay)
+	l.delay = min(2*l.delay, maxDelay)
+	return []effect.Effect{effect.WakeAt{Time: l.nextAt}}
 }
 
 func (r *Resolver) done(now time.Time, m message.LookedUp) []effect.Effect {
 	k := key{m.Program, m.Call}
-	p, ok := r.pending[k]
+	l, ok := r.known[k]
 	if !ok {
 		return nil
 	}
-	// A result that is found is recorded by the sequencer, which then says that
-	// the outcome is settled. It is looked up again if that does not come.
-	p.waiting = false
-	return r.later(now, p)
+	if m.Settled {
+		delete(r.known, k)
+		return []effect.Effect{effect.Publish{}}
+	}
+	l.waiting = false
+	return r.later(now, l)
 }
--- /dev/null
+++ b/internal/resolver/resolver_test.go
@@ -0,0 +1,94 @@
+package resolver_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/bookkeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/configuration"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
+	"github.com/sassafrasspur/sassafrasspur/internal/resolver"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+)
+
+// listed is an answer of the store whose rows are "program:call:vm", with "!" if
+// the attempt has ended without an answer.
+func listed(text string) message.RowsRead {
+	read := message.RowsRead{Range: bookkeeper.IntentRanges()[0]}
+	for word := range strings.SplitSeq(text, ",") {
+		if word == "none" {
+			continue
+		}
+		name, doubted := strings.CutSuffix(word, "!")
+		parts := strings.Split(name, ":")
+		value, err := json.Marshal(bookkeeper.Intent{
+			AttemptID: record.AttemptID{Program: ident.ProgramID(parts[0]), Call: ident.CallID(parts[1]), Attempt: 1},
+			Team:      "team", Upstream: "u", Pool: "desk", Holder: record.Holder{VM: ident.VMID(parts[2])}, Doubted: doubted,
+		})
+		if err != nil {
+			panic(err)
+		}
+		read.Page.Rows = append(read.Page.Rows, rows.Row{ID: rows.ID{Key: rows.Key(parts[0] + "/" + parts[1])}, Value: value})
+	}
+	return read
+}
+
+func decode(f goldentest.Fields) message.Message {
+	switch f["message"] {
+	case "configuration":
+		return message.ConfigurationRead{Configuration: &configuration.Configuration{
+			Version: 1, Pools: []configuration.Pool{{ID: "desk", LookUp: !f.Has("silent")}},
+			Upstreams: []configuration.Upstream{{ID: "u", Pool: "desk", Address: "u:1"}},
+		}}
+	case "members":
+		return message.MembersListed{VMs: []ident.VMID{ident.VMID(f["vms"])}}
+	case "list":
+		return listed(f["intents"])
+	case "done":
+		return message.LookedUp{Program: ident.ProgramID(f["program"]), Call: ident.CallID(f["call"]), Settled: f.Has("settled")}
+	}
+	return message.Tick{}
+}
+
+// Guards against calls that run and are looked up or shown as unknown, unknown
+// ones that nobody looks up or that two VMs do, and look-ups that end before the
+// outcome is settled.
+func TestLookUps(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	gone := map[ident.VMID]bool{}
+	runs := func(h record.Holder) bool { return !gone[h.VM] }
+	r := resolver.New("self", runs, func(err error) { t.Error(err) })
+	r.Handle(now, message.Started{})
+	g.Expect(goldentest.Check("testdata/*.txtar", func(line string) string {
+		f := goldentest.Parse(line)
+		now = now.Add(f.Duration("after"))
+		gone[ident.VMID(f["gone"])] = true
+		var words []string
+		for _, e := range r.Handle(now, decode(f)) {
+			switch e := e.(type) {
+			case effect.LookUp:
+				words = append(words, fmt.Sprintf("look up %s of %s at %s", e.Call, e.Program, e.Address))
+			case effect.ReadRows:
+				if len(words) == 0 || words[len(words)-1] != "read the list" {
+					words = append(words, "read the list")
+				}
+			case effect.WakeAt:
+				words = append(words, fmt.Sprint("wake in ", e.Time.Sub(now)))
+			}
+		}
+		view := &snapshot.Snapshot{}
+		r.Describe(view)
+		return fmt.Sprintf("%s (%d unknown)", strings.Join(words, ", "), len(view.Unknown))
+	})).To(Succeed())
+}
--- a/internal/sequencer/arrival.go
+++ b/internal/sequencer/arrival.go
@@ -5,159 +5,178 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
-	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
-	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
 	"github.com/sassafrasspur/sassafrasspur/internal/program"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
-	"github.com/sassafrasspur/sassafrasspur/internal/reserver"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
+// turnOverhead bounds the tokens that the rendering of turns adds to a prompt.
+const turnOverhead = 64
+
 // arrive decides on a call that a caller sent.
-func (s *Sequencer) arrive(now time.Time, m message.CallArrived) []effect.Effect {
-	on, state, activity := s.find(m.Program, m.Team)
-	switch {
-	case on == nil:
-		return one(refuse(m.Ticket, notOwner()))
-	case !now.Before(s.leaseUntil):
-		// Another node may own the shard by now and may have run the call.
-		err := failure.New(failure.PlatformUnavailable, "the lease of this VM has lapsed; repeat the call with the same call id")
-		err.NotRun, err.RetryAfter = m.First, backoff
-		return one(refuse(m.Ticket, err))
-	case on.closing:
-		on.parked = append(on.parked, m)
-		return nil
-	case state == nil:
-		return one(refuse(m.Ticket, notFound(m.Program)))
-	}
-	if effects, known := s.repeat(m, state, activity); known {
-		return effects
-	}
-	return s.admit(now, m, on, state, activity)
+func (s Sequencer) arrive(now time.Time, t program.Tree, a Arrive) Decision {
+	state, ok := find(t, a.Program, a.Team)
+	if !ok {
+		err := notFound(a.Program)
+		err.NotRun = a.First
+		return refuse(err)
+	}
+	if call, ok := state.Calls[a.Request.Call]; ok {
+		return s.repeat(now, t, state, call, a)
+	}
+	return s.admit(now, t, state, a)
 }
 
-// repeat answers a call whose id is known; it reports false if it is not.
-func (s *Sequencer) repeat(m message.CallArrived, state *program.State, activity *active) ([]effect.Effect, bool) {
-	if r := activity.running; r != nil && r.arrived.Request.Call == m.Request.Call {
-		if r.arrived.BodyHash != m.BodyHash || r.arrived.Request.Position != m.Request.Position {
-			return one(refuse(m.Ticket, mismatch(m))), true
+// repeat decides on a call whose id is on record.
+func (s Sequencer) repeat(now time.Time, t program.Tree, state *program.State, call program.Call, a Arrive) Decision {
+	if call.BodyHash != a.BodyHash || call.Position != a.Request.Position {
+		return refuse(failure.New(failure.CallMismatch,
+			"call id %s was used with another body or position; use a new call id for a new call", a.Request.Call))
+	}
+	switch call.Status {
+	case program.Done:
+		turn := state.Turns[call.Position-1]
+		return Answer{outcome.Replay{Attempt: turn.Attempt, Answer: turn.Answer}}
+	case program.Unknown:
+		return refuse(unknownOutcome(a.Request.Call))
+	case program.Started, program.Intended:
+		if s.alive(call.Holder) {
+			return Wait{Attempt: call.Attempt}
 		}
-		r.joined = append(r.joined, m.Ticket)
-		return nil, true
-	}
-	call, ok := state.Calls[m.Request.Call]
-	if !ok {
-		return nil, false
-	}
-	if call.BodyHash != m.BodyHash || call.Position != m.Request.Position {
-		return one(refuse(m.Ticket, mismatch(m))), true
+		if call.Status == program.Intended {
+			return doubt(a.Program, a.Request.Call, call, unknownOutcome(a.Request.Call))
+		}
+		return s.start(now, t, state, a, abandoned(a.Program, a.Request.Call, call))
+	case program.Failed:
+		if a.Awaited == call.Attempt && !call.Ran {
+			// The caller may have been told that the call has not run.
+			return refuse(notDurable("the call was withdrawn before its dispatch"))
+		}
+		return s.admit(now, t, state, a)
 	}
-	if call.Status != program.Done {
-		return one(refuse(m.Ticket, unknownOutcome(m.Request.Call))), true
+	return refuse(failure.New(failure.Internal, "call %s has the status %q; report this", a.Request.Call, call.Status))
+}
+
+// doubt records that an intended call has no process any more.
+func doubt(id ident.ProgramID, callID ident.CallID, call program.Call, err *failure.Error) Decision {
+	return Write{
+		Records: []record.Record{record.Doubted{Program: id, Call: callID, Attempt: call.Attempt}},
+		Outcome: outcome.Refused{Err: err},
 	}
-	turn := state.Turns[call.Position-1]
-	return one(answer(m.Ticket, outcome.Replay{Attempt: turn.Attempt, Answer: turn.Answer})), true
 }
 
-// admit decides on a call whose id is new.
-func (s *Sequencer) admit(now time.Time, m message.CallArrived, on *shard, state *program.State, activity *active) []effect.Effect {
-	if state.Ended || activity.ending {
-		return one(s.turnAway(m, activity, failure.ProgramEnded, "program %s has ended (%s); open a new one", m.Program, state.Reason))
+// abandoned is the end of an attempt whose process is gone. It was not dispatched
+// if it needs an intent and has none; otherwise it may have spent all that was
+// reserved.
+func abandoned(id ident.ProgramID, callID ident.CallID, call program.Call) []record.Record {
+	failed := record.Failed{Program: id, Call: callID, Attempt: call.Attempt}
+	if call.Repeatable {
+		failed.Dispatched = true
+		failed.Usage = record.Usage{Calls: call.Need.Calls, PromptTokens: call.Need.Tokens}
 	}
-	if id, _, open := state.Open(); open && activity.running == nil {
-		return one(s.turnAway(m, activity, failure.OutcomeUnknown,
-			"the outcome of call %s is unknown and later calls must wait; let an operator resolve it by a plan", id))
+	return []record.Record{failed}
+}
+
+// admit decides on a call that has no attempt under way.
+func (s Sequencer) admit(now time.Time, t program.Tree, state *program.State, a Arrive) Decision {
+	if state.Ended {
+		return s.turnAway(state, a, failure.ProgramEnded, "program %s has ended (%s); open a new one", a.Program, state.Reason)
 	}
 	next := state.Next()
-	if activity.running != nil && m.Request.Position == next+1 {
-		activity.parked = append(activity.parked, m)
-		return nil
-	}
-	if m.Request.Position > next {
-		return one(s.turnAway(m, activity, failure.PositionGap, "the next position of program %s is %d; send the calls in order", m.Program, next))
+	var before []record.Record
+	if id, call, ok := state.Open(); ok {
+		held := call.Status != program.Unknown && s.alive(call.Holder)
+		switch {
+		case held && a.Request.Position == next+1:
+			return Wait{}
+		case held:
+			next++
+		case call.Status == program.Started:
+			before = abandoned(a.Program, id, call)
+		default:
+			refused := s.turnedAway(state, a, failure.OutcomeUnknown,
+				"the outcome of call %s is unknown and later calls must wait; let an operator resolve it by a plan", id)
+			if call.Status == program.Unknown {
+				return refuse(refused)
+			}
+			return doubt(a.Program, id, call, refused)
+		}
 	}
-	if activity.running != nil {
-		next++
+	if a.Request.Position > next {
+		return s.turnAway(state, a, failure.PositionGap, "the next position of program %s is %d; send the calls in order", a.Program, next)
 	}
-	if m.Request.Position < next {
-		return one(s.turnAway(m, activity, failure.CallMismatch, "position %d is taken by another call id; the next position is %d", m.Request.Position, next))
+	if a.Request.Position < next {
+		return s.turnAway(state, a, failure.CallMismatch, "position %d is taken by another call id; the next position is %d", a.Request.Position, next)
 	}
-	return s.reserve(now, m, on, state, activity)
-}
-
-// reserve takes the worst case of a call from the budget and starts the call.
-func (s *Sequencer) reserve(now time.Time, m message.CallArrived, on *shard, state *program.State, activity *active) []effect.Effect {
-	root := on.programs[m.Program.Root()]
-	rootActivity := on.activity(root.ID)
-	need := worstCase(m, state)
-	account := reserver.Account{Budget: root.Budget, Allowance: root.Allowance, Spent: root.Spent, Reserved: rootActivity.reserved}
-	switch d := s.reserver.Decide(account, need, now).(type) {
-	case reserver.Exhausted:
-		return s.exhausted(m, d, on, root, activity)
-	case reserver.Extend:
-		activity.running = &running{arrived: m, need: need}
-		rootActivity.reserved = add(rootActivity.reserved, need)
-		extended := record.Extended{Program: root.ID, Allowance: d.Allowance}
-		return one(s.record(on, extension{program: m.Program, record: extended, ticket: m.Ticket}, extended))
-	case reserver.Reserve:
-		activity.running = &running{arrived: m, need: need}
-		rootActivity.reserved = add(rootActivity.reserved, need)
-		return one(s.start(on, state, activity))
-	}
-	return nil
+	return s.start(now, t, state, a, before)
 }
 
-// start lets the running call of a program go on to an upstream.
-func (s *Sequencer) start(on *shard, state *program.State, activity *active) effect.Effect {
-	r := activity.running
-	r.started = true
-	fresh := !r.arrived.Repeatable || r.arrived.First && activity.attempts[r.arrived.Request.Call] == 0
-	activity.attempts[r.arrived.Request.Call]++
-	r.attempt = activity.attempts[r.arrived.Request.Call]
-	return answer(r.arrived.Ticket, outcome.Run{
-		Attempt:       r.attempt,
-		Epoch:         on.epoch,
+// start reserves the worst case of a call and starts its next attempt. The
+// records of an earlier attempt come before.
+func (s Sequencer) start(now time.Time, t program.Tree, state *program.State, a Arrive, before []record.Record) Decision {
+	if len(before) > 0 {
+		t = t.Clone()
+		for _, r := range before {
+			t.Apply(r)
+		}
+		state = t[a.Program]
+	}
+	root := t[state.ID.Root()]
+	need := worstCase(a, state)
+	if limit, final := exhausted(root, t.Reserved(), need, now); limit != "" {
+		refused := outcome.Refused{Err: s.turnedAway(state, a, failure.BudgetExhausted,
+			"the %s of the budget of program %s do not cover the call (spent: %d calls, %d tokens); open a program with a larger budget",
+			limit, root.ID, root.Spent.Calls, root.Spent.Tokens)}
+		if final {
+			before = append(before, record.Ended{Program: root.ID, Reason: "budget exhausted: " + limit})
+		}
+		if len(before) == 0 {
+			return Answer{refused}
+		}
+		return Write{Records: before, Outcome: refused}
+	}
+	call := state.Calls[a.Request.Call]
+	started := record.Started{
+		Program: a.Program, Request: a.Request, BodyHash: a.BodyHash, Attempt: call.Attempt + 1, Need: need,
+		Repeatable: a.Repeatable, Holder: s.self,
+	}
+	return Write{Records: append(before, started), Outcome: outcome.Run{
+		Attempt:       started.Attempt,
 		Class:         state.Class,
 		History:       state.Turns[:len(state.Turns):len(state.Turns)],
 		HistoryTokens: state.HistoryTokens,
 		Residents:     maps.Clone(state.Residents),
-		Served:        on.programs[state.ID.Root()].Spent.Tokens,
-		Fresh:         fresh,
-	})
-}
-
-// exhausted refuses a call for its budget. If the budget covers no call at all,
-// the program ends, so that a loop does not go on and engine memory is freed.
-func (s *Sequencer) exhausted(m message.CallArrived, d reserver.Exhausted, on *shard, root *program.State, activity *active) []effect.Effect {
-	effects := one(s.turnAway(m, activity, failure.BudgetExhausted,
-		"the %s of the budget of program %s do not cover the call (spent: %d calls, %d tokens); open a program with a larger budget",
-		d.Limit, root.ID, root.Spent.Calls, root.Spent.Tokens))
-	if d.Final {
-		effects = append(effects, s.end(on, root, 0, "budget exhausted: "+d.Limit)...)
-	}
-	return effects
+		Served:        root.Spent.Tokens,
+		Fresh:         a.First && !call.Ran,
+	}}
 }
 
-// turnAway refuses a call that was not let run. The owner's lease is valid and
-// the call has no intent, so that a call that may not be repeated has not run
-// anywhere. A call that may be repeated leaves no durable trace before its
-// answer; only the caller can say that it was never sent before.
-func (s *Sequencer) turnAway(m message.CallArrived, activity *active, kind failure.Kind, format string, args ...any) effect.Effect {
-	err := failure.New(kind, format, args...)
-	err.NotRun = !m.Repeatable || m.First && activity.attempts[m.Request.Call] == 0
-	return refuse(m.Ticket, err)
+// exhausted returns the limit of a budget that does not cover a call, empty if
+// it is covered, and whether no call at all is covered any more, so that a loop
+// does not go on and engine memory is freed.
+func exhausted(root *program.State, reserved, need record.Amount, now time.Time) (limit string, final bool) {
+	wanted := root.Spent.Add(reserved).Add(need)
+	switch {
+	case expired(root, now):
+		return "time", true
+	case wanted.Calls > root.Budget.Calls:
+		return "calls", root.Spent.Calls >= root.Budget.Calls
+	case wanted.Tokens > root.Budget.Tokens:
+		return "tokens", root.Spent.Tokens >= root.Budget.Tokens
+	}
+	return "", false
 }
 
 // worstCase returns what a call may spend at most. A token has at least one
 // byte, so that the length of new text bounds its tokens.
-func worstCase(m message.CallArrived, state *program.State) record.Allowance {
-	need := record.Allowance{Calls: 1}
-	if !m.Engine {
+func worstCase(a Arrive, state *program.State) record.Amount {
+	need := record.Amount{Calls: 1}
+	if !a.Engine {
 		return need
 	}
-	prompt := len(m.Request.Body)
+	prompt := len(a.Request.Body)
 	for i := len(state.Turns) - 1; i >= 0; i-- {
 		turn := state.Turns[i]
 		if turn.Answer.Usage.PromptTokens > 0 {
@@ -165,28 +184,19 @@
 		}
 		prompt += len(turn.Body) + len(turn.Answer.Body)
 	}
-	need.Tokens = state.HistoryTokens + unit.Tokens(prompt+turnOverhead) + m.Request.MaxTokens
+	need.Tokens = state.HistoryTokens + unit.Tokens(prompt+turnOverhead) + a.Request.MaxTokens
 	return need
 }
 
-// turnOverhead bounds the tokens that the rendering of turns adds to a prompt.
-const turnOverhead = 64
-
-func add(a, b record.Allowance) record.Allowance {
-	return record.Allowance{Calls: a.Calls + b.Calls, Tokens: a.Tokens + b.Tokens}
-}
-
-func subtract(a, b record.Allowance) record.Allowance {
-	return record.Allowance{Calls: a.Calls - b.Calls, Tokens: a.Tokens - b.Tokens}
+func (s Sequencer) turnAway(state *program.State, a Arrive, kind failure.Kind, format string, args ...any) Decision {
+	return refuse(s.turnedAway(state, a, kind, format, args...))
 }
 
-func mismatch(m message.CallArrived) *failure.Error {
-	return failure.New(failure.CallMismatch, "call id %s was used with another body or position; use a new call id for a new call", m.Request.Call)
-}
-
-func unknownOutcome(call ident.CallID) *failure.Error {
-	return failure.New(failure.OutcomeUnknown,
-		"call %s was sent to its upstream and the outcome is unknown; do not send it under a new call id, let an operator resolve it by a plan", call)
+// turnedAway is the refusal of a call that is not started. A copy that was sent
+// earlier may be on its way to another VM and start there, so that only the
+// caller's statement that there is none makes "not run" true.
+func (s Sequencer) turnedAway(state *program.State, a Arrive, kind failure.Kind, format string, args ...any) *failure.Error {
+	err := failure.New(kind, format, args...)
+	err.NotRun = a.First && !state.Calls[a.Request.Call].Ran
+	return err
 }
-
-func one(e effect.Effect) []effect.Effect { return []effect.Effect{e} }
--- a/internal/sequencer/doc.go
+++ b/internal/sequencer/doc.go
@@ -1,8 +1,9 @@
-// Package sequencer keeps the programs of the shards that the node owns.
+// Package sequencer decides what may be recorded of a tree of programs.
 //
-// It decides whether a call may run: the calls of a program run in the order of
-// their positions, a repeated call joins or replays the first, and the budget
-// of the program's whole tree is reserved before the call starts. It changes
-// the durable state of a program only by records, and only when they are
-// durable.
+// The calls of a program run in the order of their positions, a repeated call
+// gets the answer of the first, and what a call may spend at most is reserved in
+// the budget of the whole tree before the call starts. A decision depends on the
+// tree and on which processes run. Nobody owns a tree: records are written on
+// the condition that the tree has not changed since it was read, and a decision
+// is made again if it has.
 package sequencer
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -10,7 +10,7 @@
 
 <!-- Generated from internal/settings/keys.go by: go test ./internal/settings -update -->
 
-The daemon reads one TOML file. Durations are texts with a unit, such as "250ms", "6s" or "1m30s". Addresses and URLs have IP numbers, never host names. A name has up to %d letters, digits, dots, underscores and hyphens and begins with a letter or a digit. Unknown keys are errors. All errors of a file are reported in one run.
+The daemon reads one TOML file. Durations are texts with a unit, such as "250ms", "6s" or "1m30s". Addresses have IP numbers, never host names. A name has up to %d letters, digits, dots, underscores and hyphens and begins with a letter or a digit. Unknown keys are errors. All errors of a file are reported in one run.
 `
 
 // Document returns the documentation of the table in Markdown.
@@ -56,9 +56,7 @@
 	case Name:
 		return fmt.Sprintf("1 to %d characters", MaxNameLength)
 	case Address:
-		return "one IP number of this VM; port 0 to 65535"
-	case URL:
-		return "http or https with an IP number"
+		return "one IP number; port 0 to 65535"
 	case Duration:
 		text := FormatDuration(k.Min) + " to " + FormatDuration(k.Max)
 		if k.Step > 0 {
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -6,7 +6,7 @@
 )
 
 // Kind says which values a key takes and where they go. The interface is
-// sealed: the variants are Name, Address, URL, Duration, Integer, Choice and
+// sealed: the variants are Name, Address, Duration, Integer, Choice and
 // Credential.
 type Kind interface{ sealed() }
 
@@ -19,10 +19,6 @@
 	Address struct {
 		Set func(Scope, netip.AddrPort)
 	}
-	// URL is an http or https URL with an IP number.
-	URL struct {
-		Set func(Scope, string)
-	}
 	// Duration is a text with a unit. A Step above 0 requires multiples of it.
 	Duration struct {
 		Min, Max, Step time.Duration
@@ -47,7 +43,6 @@
 
 func (Name) sealed()       {}
 func (Address) sealed()    {}
-func (URL) sealed()        {}
 func (Duration) sealed()   {}
 func (Integer) sealed()    {}
 func (Choice) sealed()     {}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,36 +17,20 @@
 	VM     ident.VMID
 	Region ident.Region
 	Domain ident.Domain
-	// CallerAddress and PeerAddress may have port 0, by which the system
-	// chooses a free port.
+	// CallerAddress may have port 0, by which the system chooses a free port.
 	CallerAddress netip.AddrPort
-	PeerAddress   netip.AddrPort
 	LogLevel      zerolog.Level
 	Platform      Platform
-	Cluster       Cluster
 	Freshness     Freshness
 	Addresses     Addresses
-	Peer          Peer
 	Accounts      []Account
 	Limits        Limits
 	Placement     Placement
 }
 
-// Platform says how the platform is reached. The URLs have IP numbers.
+// Platform says how the platform is reached.
 type Platform struct {
-	TableURL, ObjectURL, ListURL string
-	Timeout                      time.Duration
-	AccessKey, SecretKey         Secret
-}
-
-// Cluster has the times by which entry VMs agree on the owners of shards.
-type Cluster struct {
-	Shards       int
-	Lease        time.Duration
-	Renewal      time.Duration
-	Margin       time.Duration
-	BatchSpacing time.Duration
-	ReadInterval time.Duration
+	StoreAddress netip.AddrPort
 }
 
 // Freshness limits the age of what new work is decided by.
@@ -63,11 +47,6 @@
 	Count     int
 }
 
-// Peer has what entry VMs prove to each other.
-type Peer struct {
-	Key Secret
-}
-
 // Account is a caller or an operator with its token.
 type Account struct {
 	chain.Account
@@ -80,7 +59,6 @@
 	CallTime     time.Duration
 	FirstByte    time.Duration
 	BetweenBytes time.Duration
-	OwnerWait    time.Duration
 	QueueWait    time.Duration
 	Drain        time.Duration
 }
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -14,8 +14,15 @@
 	Routes     *routing.Table
 	RoutesAsOf time.Time
 	// Members are the entry VMs that serve callers, this one included.
-	Members     []Member
+	Members []Member
+	// Present are the entry VMs whose process runs, those that leave or do not
+	// serve yet included.
+	Present     []Member
 	MembersAsOf time.Time
+	// Enrolled is true once the row of this process was written.
+	Enrolled bool
+	// LeavingAnnounced is true once that row says that the VM is leaving.
+	LeavingAnnounced bool
 	// Upstreams is the number of upstreams that may get new work.
 	Upstreams     int
 	UpstreamsAsOf time.Time
@@ -24,12 +31,15 @@
 	LeavingSince time.Time
 }
 
-// Member is an entry VM that serves callers.
+// Member is an entry VM.
 type Member struct {
 	VM      ident.VMID
+	Process ident.ProcessID
 	Address string
 	// PeerAddress is where other entry VMs connect.
 	PeerAddress string
 	Domain      ident.Domain
 	Region      ident.Region
+	// Leaving is true from the request to shut the VM down.
+	Leaving bool
 }
--- a/internal/standin/rowkeeper/rowkeeper.go
+++ b/internal/standin/rowkeeper/rowkeeper.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 )
 
 // Fault says how the store treats a call. The interface is sealed: the variants
@@ -40,18 +41,32 @@
 	compacted rows.Version
 	late      []rows.Transaction
 	faults    func(write bool) Fault
+	timers    *timer.Service
 	started   time.Time
 	changed   chan struct{}
 	commits   int
 	reads     int
 }
 
+// Option changes how New builds a Rowkeeper.
+type Option func(*Rowkeeper)
+
+// WithTimers sets the timer service of the store's clock.
+func WithTimers(timers *timer.Service) Option {
+	return func(k *Rowkeeper) { k.timers = timers }
+}
+
 // New returns an empty store.
-func New() *Rowkeeper {
-	return &Rowkeeper{
-		rows: map[rows.ID]rows.Row{}, removed: map[rows.ID]rows.Version{},
-		faults: func(bool) Fault { return nil }, started: time.Now(), changed: make(chan struct{}),
+func New(options ...Option) *Rowkeeper {
+	k := &Rowkeeper{
+		rows: map[rows.ID]rows.Row{}, removed: map[rows.ID]rows.Version{}, timers: timer.New(),
+		faults: func(bool) Fault { return nil }, changed: make(chan struct{}),
+	}
+	for _, option := range options {
+		option(k)
 	}
+	k.started = k.timers.Now()
+	return k
 }
 
 // Inject sets what decides on the fault of each call; nil is none.
@@ -182,7 +197,7 @@
 }
 
 func (k *Rowkeeper) page() rows.Page {
-	return rows.Page{Version: k.version, Clock: rows.Clock(time.Since(k.started))}
+	return rows.Page{Version: k.version, Clock: rows.Clock(k.timers.Now().Sub(k.started))}
 }
 
 // Changes returns the rows of a table that changed after a version.
--- /dev/null
+++ b/internal/standin/rowserver/control.go
@@ -0,0 +1,115 @@
+package rowserver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/replier"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+)
+
+// Control lists upstreams in a store and gives it faults.
+type Control struct {
+	keeper *rowkeeper.Rowkeeper
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// Faults of a store.
+type Faults struct {
+	// Outage refuses all calls.
+	Outage bool `json:"outage"`
+	// LoseAnswers and ApplyLate are the numbers of next transactions that are
+	// applied and not answered, and that are applied when the faults are set
+	// next.
+	LoseAnswers int `json:"lose_answers"`
+	ApplyLate   int `json:"apply_late"`
+}
+
+// NewControl returns the control of a store without faults.
+func NewControl(keeper *rowkeeper.Rowkeeper) *Control {
+	c := &Control{keeper: keeper}
+	keeper.Inject(c.decide)
+	return c
+}
+
+// Set replaces the faults. Transactions that were held back are applied.
+func (c *Control) Set(f Faults) {
+	c.keeper.Settle()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+}
+
+func (c *Control) decide(write bool) rowkeeper.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.faults.Outage:
+		return rowkeeper.Refuse{}
+	case write && c.faults.LoseAnswers > 0:
+		c.faults.LoseAnswers--
+		return rowkeeper.LoseAnswer{}
+	case write && c.faults.ApplyLate > 0:
+		c.faults.ApplyLate--
+		return rowkeeper.ApplyLate{}
+	}
+	return nil
+}
+
+// List writes the entry of an upstream.
+func (c *Control) List(address string, leaving bool) error {
+	state := "ready"
+	if leaving {
+		state = "leaving"
+	}
+	value, err := json.Marshal(map[string]any{"service": "upstreams", "address": address, "zone": "any", "slots": 1, "state": state})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = c.keeper.Commit(context.Background(), rows.Transaction{
+		Puts: []rows.Put{{ID: rows.ID{Table: "servers", Key: rows.Key(address)}, Value: value}},
+	})
+	return errors.Trace(err)
+}
+
+// Handler returns the calls of the store and the control paths.
+func (c *Control) Handler(s *Rowserver) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", s.Handler())
+	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			replier.Error(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		c.Set(f)
+		reply(w, http.StatusOK, f)
+	})
+	mux.HandleFunc("POST /standin/servers", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Address string `json:"address"`
+			Leaving bool   `json:"leaving"`
+		}
+		err := json.NewDecoder(r.Body).Decode(&body)
+		if err == nil {
+			err = c.List(body.Address, body.Leaving)
+		}
+		if err != nil {
+			replier.Error(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		reply(w, http.StatusOK, body)
+	})
+	mux.HandleFunc("GET /standin/stats", func(w http.ResponseWriter, _ *http.Request) {
+		writes, reads := c.keeper.Calls()
+		reply(w, http.StatusOK, map[string]int{"writes": writes, "reads": reads})
+	})
+	return mux
+}
--- a/internal/sweeper/sweeper.go
+++ b/internal/sweeper/sweeper.go
@@ -1,8 +1,8 @@
 // Package sweeper removes the rows of programs that ended long ago; rows of the
 // platform's store never expire by themselves.
 //
-// Each VM lists the programs that it took parts of budgets for, in one part of
-// the store for each span of time. One VM, the first of those that serve, reads
+// Each VM lists the programs that it wrote rows of, in one part of the store for
+// each span of time. One VM, the first of those that serve, reads
 // the lists whose span is over, and removes the rows of the programs on them
 // that were not used since. Two VMs that sweep at once do the same work twice.
 package sweeper
@@ -167,7 +167,7 @@
 }
 
 // sweepPart removes the rows of the programs on one part of the list, and their
-// place on it. A program that was used later is on a later part, too.
+// place on it. A program that is still in use is listed again.
 func (s *Sweeper) sweepPart(ctx context.Context, part rows.Part, oldest time.Time) error {
 	page, err := s.store.Read(ctx, rows.Range{Table: listTable, Part: part})
 	if err != nil {
@@ -183,6 +183,8 @@
 			if err := s.remove(ctx, p); err != nil {
 				return err
 			}
+		} else {
+			s.Use(p)
 		}
 		if _, err := s.store.Commit(ctx, rows.Transaction{Removes: []rows.ID{row.ID}}); err != nil {
 			return err
--- a/internal/timer/manual.go
+++ b/internal/timer/manual.go
@@ -10,6 +10,8 @@
 	mu      sync.Mutex
 	now     time.Time
 	waiting map[*manualWait]struct{}
+	// skips is true if the clock moves to each moment that is waited for.
+	skips bool
 }
 
 type manualWait struct {
@@ -22,6 +24,14 @@
 	return &Manual{now: start, waiting: map[*manualWait]struct{}{}}
 }
 
+// NewSkipping returns a clock that shows start and moves to each moment that is
+// waited for, for tests that have one goroutine.
+func NewSkipping(start time.Time) *Manual {
+	m := NewManual(start)
+	m.skips = true
+	return m
+}
+
 // Now returns the time that the clock shows.
 func (m *Manual) Now() time.Time {
 	m.mu.Lock()
@@ -53,6 +63,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w := &manualWait{moment: moment, c: make(chan time.Time, 1)}
+	if m.skips && moment.After(m.now) {
+		m.now = moment
+	}
 	if !moment.After(m.now) {
 		w.c <- m.now
 	} else {
--- a/internal/tools/tools.go
+++ b/internal/tools/tools.go
@@ -7,12 +7,6 @@
 import (
 	_ "github.com/BurntSushi/toml"
 	_ "github.com/VictoriaMetrics/metrics"
-	_ "github.com/aws/aws-sdk-go-v2/aws"
-	_ "github.com/aws/aws-sdk-go-v2/credentials"
-	_ "github.com/aws/aws-sdk-go-v2/service/dynamodb"
-	_ "github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
-	_ "github.com/aws/aws-sdk-go-v2/service/s3"
-	_ "github.com/aws/smithy-go/transport/http"
 	_ "github.com/google/uuid"
 	_ "github.com/jessevdk/go-flags"
 	_ "github.com/juju/errors"
--- a/internal/upstreamprober/prober.go
+++ b/internal/upstreamprober/prober.go
@@ -14,6 +14,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/unit"
@@ -106,18 +107,18 @@
 	return message.OrderDone{OrderID: e.OrderID, Err: annotate(err, "order", e.Address)}
 }
 
-// LookUp asks a service for the result of a call.
-func (p *Prober) LookUp(ctx context.Context, e effect.LookUp) message.LookedUp {
+// LookUp asks a service for the result of a call, false if it has none.
+func (p *Prober) LookUp(ctx context.Context, e effect.LookUp) (record.Answer, bool, error) {
 	query := url.Values{"program": {string(e.Program)}, "call_id": {string(e.Call)}}
 	answer, err := p.exchange(ctx, http.MethodGet, e.Address, "/v1/results?"+query.Encode(), nil)
-	report := message.LookedUp{Program: e.Program, Call: e.Call}
-	if err == nil && answer.status != http.StatusNotFound {
-		var reply servicecaller.Reply
-		reply, err = decodeReply(answer, e)
-		report.Found, report.Answer = err == nil, reply.Answer
+	if err != nil {
+		return record.Answer{}, false, annotate(err, "result", e.Address)
 	}
-	report.Err = annotate(err, "result", e.Address)
-	return report
+	if answer.status == http.StatusNotFound {
+		return record.Answer{}, false, nil
+	}
+	reply, err := decodeReply(answer, e)
+	return reply.Answer, err == nil, annotate(err, "result", e.Address)
 }
 
 // exchange sends a request and reads the whole answer within the limits.
