--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -44,7 +44,6 @@
 	sequencer sequencer.Sequencer
 	patience  time.Duration
 	keep      time.Duration
-	interval  time.Duration
 	use       func(ident.ProgramID)
 	release   func([]Release)
 	report    func(error)
@@ -94,12 +93,6 @@
 	return func(b *Bookkeeper) { b.patience, b.keep = usual, keep }
 }
 
-// WithWaitInterval sets the time between two looks at a call that another VM
-// runs.
-func WithWaitInterval(d time.Duration) Option {
-	return func(b *Bookkeeper) { b.interval = d }
-}
-
 // WithUse sets what is told of each tree that has rows from now on.
 func WithUse(use func(ident.ProgramID)) Option {
 	return func(b *Bookkeeper) { b.use = use }
@@ -123,7 +116,7 @@
 // New returns a bookkeeper whose background work ends with the context.
 func New(ctx context.Context, store rows.Store, timers *timer.Service, s sequencer.Sequencer, options ...Option) *Bookkeeper {
 	b := &Bookkeeper{
-		store: store, timers: timers, sequencer: s, patience: defaultPatience, keep: defaultKeepPatience, interval: waitInterval,
+		store: store, timers: timers, sequencer: s, patience: defaultPatience, keep: defaultKeepPatience,
 		use: func(ident.ProgramID) {}, release: func([]Release) {}, report: func(error) {},
 		stop: ctx, trees: map[ident.ProgramID]*tree{},
 	}
--- a/internal/bookkeeper/deciding.go
+++ b/internal/bookkeeper/deciding.go
@@ -94,7 +94,7 @@
 		arrived.Awaited = s.attempt
 		d.request = arrived
 	}
-	pause := d.bookkeeper.timers.After(d.bookkeeper.interval)
+	pause := d.bookkeeper.timers.After(waitInterval)
 	defer pause.Cancel()
 	select {
 	case <-s.changed:
--- a/internal/bookkeeper/rows.go
+++ b/internal/bookkeeper/rows.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -256,6 +255,3 @@
 	}
 	return now, nil
 }
-
-// IsTree reports whether an id can be that of a tree of programs.
-func IsTree(id ident.ProgramID) bool { return id != "" && !strings.Contains(string(id), "/") }
--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -41,6 +41,10 @@
 	Order(ctx context.Context, e effect.Order) message.OrderDone
 }
 
+// effectLimit bounds one effect: the calls of upstreams and of the store that it
+// consists of have limits of 10 s at most.
+const effectLimit = 30 * time.Second
+
 // Performer carries out effects.
 type Performer struct {
 	store    Store
@@ -48,25 +52,12 @@
 	prober   Prober
 	cancel   func(ident.Grant)
 	report   func(error)
-	limit    time.Duration
-}
-
-// Option changes how New builds a Performer.
-type Option func(*Performer)
-
-// WithLimit sets the longest time that one effect may take.
-func WithLimit(limit time.Duration) Option {
-	return func(p *Performer) { p.limit = limit }
 }
 
 // New returns a performer. The function cancel stops the dispatch that uses a
 // grant. Errors that no controller learns of are given to report.
-func New(s Store, programs Programs, u Prober, cancel func(ident.Grant), report func(error), options ...Option) *Performer {
-	p := &Performer{store: s, programs: programs, prober: u, cancel: cancel, report: report, limit: 30 * time.Second}
-	for _, option := range options {
-		option(p)
-	}
-	return p
+func New(s Store, programs Programs, u Prober, cancel func(ident.Grant), report func(error)) *Performer {
+	return &Performer{store: s, programs: programs, prober: u, cancel: cancel, report: report}
 }
 
 // Perform starts an effect and returns at once. Its result is posted.
@@ -77,7 +68,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), p.limit)
+		ctx, cancel := context.WithTimeout(context.Background(), effectLimit)
 		defer cancel()
 		p.perform(ctx, e, post)
 	}()
--- a/internal/processtest/leaving_test.go
+++ b/internal/processtest/leaving_test.go
@@ -100,3 +100,27 @@
 		Expect(o.kinds).To(BeEmpty(), "requests failed")
 	}, SpecTimeout(caseLimit))
 })
+
+// aloneLimit is the longest time that VMs may take to stop together without the
+// store.
+const aloneLimit = 15 * time.Second
+
+var _ = Describe("all VMs that are asked to leave without the store", func() {
+	// Guards against VMs that wait for each other, or for the store, before they
+	// stop.
+	It("stop soon and cleanly", func(ctx SpecContext) {
+		d := deploy(ctx, shape{vms: 3})
+		d.store.kill()
+		asked := time.Now()
+		for _, v := range d.vms {
+			v.leave()
+		}
+		for _, v := range d.vms {
+			Eventually(ctx, v.exited).Should(BeClosed())
+			Expect(v.code.Load()).To(BeZero(), v.name+" did not stop cleanly")
+		}
+		took := time.Since(asked)
+		measured("stop_without_store_ms=%d", took.Milliseconds())
+		Expect(took).To(BeNumerically("<", aloneLimit))
+	}, SpecTimeout(caseLimit))
+})
--- a/internal/provisioner/provisioner.go
+++ b/internal/provisioner/provisioner.go
@@ -20,12 +20,16 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 )
 
-// maxDelay bounds the time between two tries of an order.
-const maxDelay = 10 * time.Second
+const (
+	// firstDelay is the time before an order is tried again; it doubles with each
+	// failure.
+	firstDelay = 500 * time.Millisecond
+	// maxDelay bounds the time between two tries of an order.
+	maxDelay = 10 * time.Second
+)
 
 // Provisioner is the controller of orders to engines.
 type Provisioner struct {
-	firstDelay    time.Duration
 	configuration *configuration.Configuration
 	share         sharer.Sharer
 	// known holds the orders of this VM's share.
@@ -42,23 +46,12 @@
 	confirmed bool
 }
 
-// Option changes how New builds a Provisioner.
-type Option func(*Provisioner)
-
-// WithDelay sets the time before an order is tried again; it doubles with each
-// failure.
-func WithDelay(first time.Duration) Option { return func(p *Provisioner) { p.firstDelay = first } }
-
 // New returns the provisioner of a VM.
-func New(self ident.VMID, options ...Option) *Provisioner {
+func New(self ident.VMID) *Provisioner {
 	p := &Provisioner{
-		firstDelay: 500 * time.Millisecond,
-		share:      sharer.New(self),
-		known:      map[message.OrderID]*order{},
-		busy:       map[string]bool{},
-	}
-	for _, option := range options {
-		option(p)
+		share: sharer.New(self),
+		known: map[message.OrderID]*order{},
+		busy:  map[string]bool{},
 	}
 	return p
 }
@@ -112,7 +105,7 @@
 		id := message.OrderID{Order: o, Address: upstream.Address}
 		next[id] = p.known[id]
 		if next[id] == nil {
-			next[id] = &order{delay: p.firstDelay}
+			next[id] = &order{delay: firstDelay}
 		}
 	}
 	p.known = next
--- a/internal/releaser/releaser.go
+++ b/internal/releaser/releaser.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// firstDelay is the time before a release is tried again; it doubles with
+	// each failure.
+	firstDelay = 500 * time.Millisecond
 	// maxDelay bounds the time between two tries of a release.
 	maxDelay = 10 * time.Second
 	// checkLimit bounds the programs of one look at an engine's memory, each of
@@ -29,7 +32,6 @@
 
 // Releaser is the controller of releases.
 type Releaser struct {
-	firstDelay    time.Duration
 	sweepInterval time.Duration
 	configuration *configuration.Configuration
 	share         sharer.Sharer
@@ -55,12 +57,6 @@
 // Option changes how New builds a Releaser.
 type Option func(*Releaser)
 
-// WithDelay sets the time before a release is tried again; it doubles with
-// each failure.
-func WithDelay(first time.Duration) Option {
-	return func(r *Releaser) { r.firstDelay = first }
-}
-
 // WithSweep sets the interval at which one engine after the other is asked for
 // all programs that it holds.
 func WithSweep(interval time.Duration) Option {
@@ -70,7 +66,6 @@
 // New returns the releaser of a VM, with nothing to release.
 func New(self ident.VMID, options ...Option) *Releaser {
 	r := &Releaser{
-		firstDelay:    500 * time.Millisecond,
 		sweepInterval: 2 * time.Second,
 		share:         sharer.New(self),
 		pending:       map[key]*release{},
@@ -115,7 +110,7 @@
 	if _, ok := r.pending[k]; ok {
 		return nil
 	}
-	r.pending[k] = &release{wanted: m, delay: r.firstDelay, nextAt: now}
+	r.pending[k] = &release{wanted: m, delay: firstDelay, nextAt: now}
 	return r.tick(now)
 }
 
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -27,6 +27,9 @@
 )
 
 const (
+	// firstDelay is the time between the first two look-ups of a call; it doubles
+	// with each one.
+	firstDelay = time.Second
 	// maxDelay bounds the time between two look-ups of a call.
 	maxDelay = time.Minute
 	// listInterval spaces the reads of the list. Callers that ask for an unknown
@@ -36,7 +39,6 @@
 
 // Resolver is the controller of look-ups.
 type Resolver struct {
-	firstDelay    time.Duration
 	runs          func(record.Holder) bool
 	report        func(error)
 	share         sharer.Sharer
@@ -60,25 +62,13 @@
 	waiting bool
 }
 
-// Option changes how New builds a Resolver.
-type Option func(*Resolver)
-
-// WithDelay sets the time between the first two look-ups of a call; it doubles
-// with each one.
-func WithDelay(first time.Duration) Option {
-	return func(r *Resolver) { r.firstDelay = first }
-}
-
 // New returns the resolver of a VM. The function runs reports whether a process
 // runs. Rows that can't be decoded are given to report.
-func New(self ident.VMID, runs func(record.Holder) bool, report func(error), options ...Option) *Resolver {
+func New(self ident.VMID, runs func(record.Holder) bool, report func(error)) *Resolver {
 	r := &Resolver{
-		firstDelay: time.Second, runs: runs, report: report, share: sharer.New(self),
+		runs: runs, report: report, share: sharer.New(self),
 		listed: map[rows.Range][]bookkeeper.Intent{}, known: map[key]*lookUp{},
 	}
-	for _, option := range options {
-		option(r)
-	}
 	return r
 }
 
@@ -154,7 +144,7 @@
 			k := key{intent.Program, intent.Call}
 			next[k] = r.known[k]
 			if next[k] == nil || next[k].intent != intent {
-				next[k] = &lookUp{intent: intent, delay: r.firstDelay, nextAt: now}
+				next[k] = &lookUp{intent: intent, delay: firstDelay, nextAt: now}
 				changed = true
 			}
 		}
