sequencer: a call of an ended program is not started again

Cause: a call whose VM is gone was started again without a look at the end of its program, which may have come in between.

--- a/internal/sequencer/arrival.go
+++ b/internal/sequencer/arrival.go
@@ -82,7 +82,7 @@
 // admit decides on a call that has no attempt under way.
 func (s Sequencer) admit(now time.Time, t program.Tree, state *program.State, a Arrive) Decision {
 	if state.Ended {
-		return s.turnAway(state, a, failure.ProgramEnded, "program %s has ended (%s); open a new one", a.Program, state.Reason)
+		return s.start(now, t, state, a, nil)
 	}
 	next := state.Next()
 	var before []record.Record
@@ -123,19 +123,18 @@
 		}
 		state = t[a.Program]
 	}
+	if state.Ended {
+		return written(before, s.turnedAway(state, a, failure.ProgramEnded, "program %s has ended (%s); open a new one", a.Program, state.Reason))
+	}
 	root := t[state.ID.Root()]
 	need := worstCase(a, state)
 	if limit, final := exhausted(root, t.Reserved(), need, now); limit != "" {
-		refused := outcome.Refused{Err: s.turnedAway(state, a, failure.BudgetExhausted,
-			"the %s of the budget of program %s do not cover the call (spent: %d calls, %d tokens); open a program with a larger budget",
-			limit, root.ID, root.Spent.Calls, root.Spent.Tokens)}
 		if final {
 			before = append(before, record.Ended{Program: root.ID, Reason: "budget exhausted: " + limit})
 		}
-		if len(before) == 0 {
-			return Answer{refused}
-		}
-		return Write{Records: before, Outcome: refused}
+		return written(before, s.turnedAway(state, a, failure.BudgetExhausted,
+			"the %s of the budget of program %s do not cover the call (spent: %d calls, %d tokens); open a program with a larger budget",
+			limit, root.ID, root.Spent.Calls, root.Spent.Tokens))
 	}
 	call := state.Calls[a.Request.Call]
 	started := record.Started{
@@ -153,6 +152,14 @@
 	}}
 }
 
+// written refuses a request once some records, if there are any, are durable.
+func written(records []record.Record, err *failure.Error) Decision {
+	if len(records) == 0 {
+		return refuse(err)
+	}
+	return Write{Records: records, Outcome: outcome.Refused{Err: err}}
+}
+
 // exhausted returns the limit of a budget that does not cover a call, empty if
 // it is covered, and whether no call at all is covered any more, so that a loop
 // does not go on and engine memory is freed.
