--- a/chain.go
+++ b/chain.go
@@ -5,32 +5,58 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/enginecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/admitter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/dispatcher"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/drainer"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/identifier"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/meterer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/pathfinder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
+	"github.com/sassafrasspur/sassafrasspur/internal/granter"
+	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/platform"
 )
 
-// buildChain sets down the order in which every request passes the filters.
-func (n *Node) buildChain() {
+// callChains sets down the order in which requests of the product's own
+// interface pass the filters. Requests about other things than programs pass
+// identify alone.
+func (n *Node) callChains() (identify, all *chain.Chain) {
 	s := n.settings
 	engines := enginecaller.New(n.timers,
 		enginecaller.WithFirstByte(s.Limits.FirstByte), enginecaller.WithBetween(s.Limits.BetweenBytes),
 		enginecaller.WithCrossed(n.meter.CountCrossedAnswer))
 	services := servicecaller.New(n.timers, servicecaller.WithLimit(s.Limits.FirstByte),
 		servicecaller.WithCrossed(n.meter.CountCrossedAnswer))
-	identify := identifier.New(n.accounts())
-	n.identify = chain.New(identify)
-	n.chain = chain.New(
-		identify,
+	programs := n.calls.programs
+	identity := identifier.New(n.accounts())
+	return chain.New(identity), chain.New(
+		identity,
 		meterer.New(n.meter, n.log, n.timers),
-		manager.New(n.programs, n.control.Snapshot),
-		orderer.New(n.programs, n.control.Snapshot, n.timers, orderer.WithCallLimit(s.Limits.CallTime)),
+		manager.New(programs, n.control.Snapshot),
+		orderer.New(programs, n.control.Snapshot, n.timers, orderer.WithCallLimit(s.Limits.CallTime)),
 		admitter.New(n.control, n.timers),
-		recorder.New(n.programs),
-		dispatcher.New(n.programs, n.timers, engines, services, n.canceller),
+		recorder.New(programs),
+		dispatcher.New(programs, n.timers, engines, services, n.calls.canceller),
+	)
+}
+
+// requestChain sets down the order in which requests of the users' interface
+// pass the filters.
+func (n *Node) requestChain() traffic.Handler {
+	members := func() []snapshot.Member { return n.view().Members }
+	return traffic.Chain(
+		reporter.New(n.log.Zerolog(), n.meter, n.timers),
+		pathfinder.New(n.control.Snapshot),
+		drainer.New(n.control.Snapshot, max(0, n.finishBy()-usualTime), n.finishBy()),
+		turnrecorder.New(n.settings.Domain,
+			granter.New(n.settings.VM, n.budgets, n.peers, members), ledger.New(n.store, n.timers), n.timers),
+		forwarder.New(n.control, platform.NewReplicas(n.ingress.links), n.timers),
 	)
 }
 
--- a/cmd/sassafrasspur/main_test.go
+++ b/cmd/sassafrasspur/main_test.go
@@ -16,6 +16,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 	"golang.org/x/tools/txtar"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -32,6 +33,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/viewer"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -87,7 +89,14 @@
 	plans := confirmer.New(rowkeeper.New(), timers, confirmer.WithIDs(func() string { return "plan-1" }))
 	self := &snapshot.Member{VM: "vm1", Region: "noord", Domain: "n1"}
 	f := front.New(*self, serve, identify, func() *snapshot.Snapshot { return view }, plans, timers, addresser.New()).Handler()
-	working := httptest.NewServer(f)
+	views := viewer.New(*self, func() *snapshot.Snapshot { return view }, timers).Handler(zerolog.Nop())
+	working := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/view" {
+			views.ServeHTTP(w, r)
+			return
+		}
+		f.ServeHTTP(w, r)
+	}))
 	DeferCleanup(working.Close)
 	// faulty serves calls with the given events and then drops the connection.
 	faulty := func(events ...string) *httptest.Server {
--- a/cmd/sassafrasspur/options.go
+++ b/cmd/sassafrasspur/options.go
@@ -46,18 +46,18 @@
 }
 
 type commands struct {
-	addresses                         addresses
-	program                           struct{}
-	open                              open
-	call                              call
-	child                             child
-	end                               end
-	show                              show
-	plan                              struct{}
-	createPlan                        createPlan
-	showPlan                          showPlan
-	confirmPlan                       confirmPlan
-	status, upstreamList, machineList simple
+	addresses                               addresses
+	program                                 struct{}
+	open                                    open
+	call                                    call
+	child                                   child
+	end                                     end
+	show                                    show
+	plan                                    struct{}
+	createPlan                              createPlan
+	showPlan                                showPlan
+	confirmPlan                             confirmPlan
+	status, view, upstreamList, machineList simple
 }
 
 func newOptions(c *choice) *options {
@@ -66,6 +66,7 @@
 	k.addresses.choice, k.open.choice, k.call.choice, k.child.choice, k.end.choice, k.show.choice = c, c, c, c, c, c
 	k.createPlan.choice, k.showPlan.choice, k.confirmPlan.choice = c, c, c
 	k.status = simple{c, (*commander.Commander).Status}
+	k.view = simple{c, (*commander.Commander).View}
 	k.upstreamList = simple{c, (*commander.Commander).Upstreams}
 	k.machineList = simple{c, (*commander.Commander).VMs}
 	return o
@@ -83,6 +84,7 @@
 		entry{"program", "Open, use and end programs", &k.program},
 		entry{"plan", "Create, show and confirm plans", &k.plan},
 		entry{"status", "Show the state of the system", &k.status},
+		entry{"view", "Show what one entry VM believes; give its metrics address with --server", &k.view},
 		entry{"upstreams", "List the upstreams", &k.upstreamList},
 		entry{"vms", "List the entry VMs", &k.machineList},
 	); err != nil {
--- a/cmd/sassafrasspurd/main.go
+++ b/cmd/sassafrasspurd/main.go
@@ -1,33 +1,42 @@
 // Command sassafrasspurd runs an entry VM.
 //
-// It prints one JSON line with its process id and its bound addresses when it
-// accepts connections, writes its log as JSON lines to the standard error, and
-// leaves gracefully on SIGTERM. The exit code is 2 if the settings are not
-// valid and 1 if the node can't start or has to cut requests.
+// It writes its log as JSON lines to the standard output; the first one has the
+// bound addresses. It leaves gracefully on SIGTERM and reads its settings again
+// on SIGHUP. The exit code is 2 if the settings are not valid and 1 if the node
+// can't start or has to cut requests.
 package main
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/sassafrasspur/sassafrasspur"
 	"github.com/sassafrasspur/sassafrasspur/internal/loader"
+	"github.com/sassafrasspur/sassafrasspur/platform"
 )
 
 const (
 	exitFailed   = 1
 	exitSettings = 2
+	// logLines bounds the log lines that wait for the standard output. Lines
+	// beyond it are dropped and counted.
+	logLines = 4096
+	// logLimit bounds the wait for the last lines at the end, which a reader
+	// that has stopped reading would hold up.
+	logLimit = 500 * time.Millisecond
 )
 
 type options struct {
-	Settings string `long:"settings" value-name:"FILE" description:"Settings of the entry VM in TOML"`
+	Settings string `long:"settings" value-name:"FILE" description:"Settings of the entry VM in TOML; without it, the file that the platform names in its environment variable"`
 	Check    string `long:"check-settings" value-name:"FILE" description:"Check settings, print all errors and exit"`
 }
 
@@ -40,45 +49,72 @@
 		}
 		os.Exit(exitSettings)
 	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	os.Exit(run(o))
 }
 
 func run(o options) int {
-	file := o.Settings
 	if o.Check != "" {
-		file = o.Check
+		return check(o.Check)
 	}
-	if file == "" {
+	if o.Settings == "" {
 		fmt.Fprintln(os.Stderr, "no settings; give --settings FILE")
 		return exitSettings
 	}
-	s, err := loader.New().Load(file)
+	// Signals are taken first: a stop during the start ends no request.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	s, err := loader.New().Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if o.Check != "" {
-		fmt.Println("settings are valid")
-		return 0
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	node, err := sassafrasspur.New(sassafrasspur.WithSettings(*s))
+	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		log := zerolog.New(os.Stdout).With().Timestamp().Str("vm", string(s.VM)).Logger()
+		log.Warn().Int("lines", missed).Msg("log lines dropped")
+	})
+	defer flush(out)
+	node, err := sassafrasspur.New(sassafrasspur.WithSettings(*s), sassafrasspur.WithLog(out))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	announce(node)
+	go func() {
+		for range hangups {
+			next, err := loader.New().Load(o.Settings)
+			node.Reload(next, err)
+		}
+	}()
 	if err := node.Run(ctx); err != nil {
 		return exitFailed
 	}
 	return 0
 }
 
-// announce prints the ready line, from which scripts learn the bound addresses.
-func announce(node *sassafrasspur.Node) {
-	_ = json.NewEncoder(os.Stdout).Encode(struct {
-		PID           int    `json:"pid"`
-		CallerAddress string `json:"caller_address"`
-	}{os.Getpid(), node.CallerAddress()})
+func check(file string) int {
+	if _, err := loader.New().Load(file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	fmt.Println("settings are valid")
+	return 0
+}
+
+// flush waits until the last log lines are written.
+func flush(out diode.Writer) {
+	written := make(chan struct{})
+	go func() {
+		// Close returns the error of the standard output's Close, after which
+		// nothing could be logged.
+		_ = out.Close()
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(logLimit):
+	}
 }
--- a/control.go
+++ b/control.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"github.com/google/uuid"
+
+	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
 	"github.com/sassafrasspur/sassafrasspur/internal/configurer"
 	"github.com/sassafrasspur/sassafrasspur/internal/discoverer"
 	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
@@ -14,24 +17,42 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/releaser"
 	"github.com/sassafrasspur/sassafrasspur/internal/resolver"
 	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
+	"github.com/sassafrasspur/sassafrasspur/internal/subscriber"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstreamprober"
 	"github.com/sassafrasspur/sassafrasspur/platform"
 )
 
-// startControl starts the control goroutine with all controllers. Messages
-// reach them in the order of this list.
+// startControl starts the control goroutine with all controllers.
 func (n *Node) startControl(ctx context.Context) {
-	s := n.settings
-	work := performer.New(storeworker.New(ctx, n.store, n.timers), n.programs, upstreamprober.New(n.timers),
-		n.canceller.Cancel, n.report("work repeated later"))
 	n.control = executor.New(
 		executor.WithTimers(n.timers),
-		executor.WithPerformer(work),
+		executor.WithPerformer(n.performer(ctx)),
 		executor.WithObserver(entrylogger.New(n.log.Zerolog(), n.meter)),
-		executor.WithControllers(
-			enroller.New(n.self(), listInterval),
-			configurer.New(n.report("configuration rejected"), configurer.WithFreshness(s.Freshness.Configuration, s.Freshness.Interval)),
-			discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, n.report("upstream rejected")),
+		executor.WithControllers(n.controllers()...),
+	)
+}
+
+// controllers lists the controllers in the order in which messages reach them.
+func (n *Node) controllers() []executor.Controller {
+	s := n.settings
+	var all []executor.Controller
+	if n.ingress != nil {
+		all = append(all, subscriber.New(platform.RoutesTable, platform.DecodeRoutes, n.report("routes rejected")))
+	}
+	if n.calls != nil {
+		all = append(all, configurer.New(n.report("configuration rejected"), configurer.WithFreshness(s.Freshness.Configuration, s.Freshness.Interval)))
+	}
+	all = append(all,
+		discoverer.New(platform.UpstreamsTable, platform.DecodeUpstream, n.report("upstream rejected")),
+		enroller.New(n.self(), n.interval()),
+	)
+	if n.ingress != nil {
+		place := balancer.Place{Domain: s.Domain, Region: s.Region, Regions: s.Regions}
+		seed := uuid.New()
+		all = append(all, balancer.New(place, uint64(seed.ID())))
+	}
+	if n.calls != nil {
+		all = append(all,
 			placer.New(
 				placer.WithVM(s.VM),
 				placer.WithRegion(s.Region),
@@ -42,8 +63,19 @@
 				placer.WithQueueLimit(s.Limits.QueueWait),
 			),
 			releaser.New(s.VM),
-			resolver.New(s.VM, n.roster.Runs, n.report("intent rejected")),
+			resolver.New(s.VM, n.calls.roster.Runs, n.report("intent rejected")),
 			provisioner.New(s.VM),
-		),
-	)
+		)
+	}
+	return all
+}
+
+// performer carries out what the controllers ask for. The users' interface needs
+// the store alone.
+func (n *Node) performer(ctx context.Context) executor.Performer {
+	store := storeworker.New(ctx, n.store, n.timers)
+	if n.calls == nil {
+		return store
+	}
+	return performer.New(store, n.calls.programs, upstreamprober.New(n.timers), n.calls.canceller.Cancel, n.report("work repeated later"))
 }
--- a/gen/http/cli/sassafrasspur/cli.go
+++ b/gen/http/cli/sassafrasspur/cli.go
@@ -17,6 +17,7 @@
 	plansc "github.com/sassafrasspur/sassafrasspur/gen/http/plans/client"
 	programsc "github.com/sassafrasspur/sassafrasspur/gen/http/programs/client"
 	statusc "github.com/sassafrasspur/sassafrasspur/gen/http/status/client"
+	viewc "github.com/sassafrasspur/sassafrasspur/gen/http/view/client"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 )
@@ -30,15 +31,17 @@
 		"plans (create|show|confirm)",
 		"status (show|upstreams|vms)",
 		"programs (open|child|call|end|show)",
+		"view show",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "addresses list --account \"a71\" --token \"Quam asperiores.\"" + "\n" +
-		os.Args[0] + " " + "plans create --body '{\n      \"intent\": \"1\"\n   }' --token \"Aut impedit consequatur ea consequatur ullam dolor.\"" + "\n" +
-		os.Args[0] + " " + "status show --token \"Non voluptatem laboriosam voluptas officia qui.\"" + "\n" +
-		os.Args[0] + " " + "programs open --body '{\n      \"budget\": {\n         \"calls\": 356591639097202932,\n         \"seconds\": 13415590,\n         \"tokens\": 3989703777860793468\n      },\n      \"class\": \"r\",\n      \"program\": \"f0m\"\n   }' --token \"Nesciunt exercitationem.\"" + "\n" +
+	return os.Args[0] + " " + "addresses list --account \"uqr\" --token \"Mollitia ipsa eum eius aut quam.\"" + "\n" +
+		os.Args[0] + " " + "plans create --body '{\n      \"intent\": \"zi\"\n   }' --token \"Incidunt est ut id maxime nisi sit.\"" + "\n" +
+		os.Args[0] + " " + "status show --token \"Sunt minima recusandae et laboriosam.\"" + "\n" +
+		os.Args[0] + " " + "programs open --body '{\n      \"budget\": {\n         \"calls\": 3355618316312755571,\n         \"seconds\": 6253081,\n         \"tokens\": 9162522595596518549\n      },\n      \"class\": \"2o\",\n      \"program\": \"0g3j\"\n   }' --token \"Impedit odio.\"" + "\n" +
+		os.Args[0] + " " + "view show" + "\n" +
 		""
 }
 
@@ -106,6 +109,10 @@
 		programsShowFlags       = flag.NewFlagSet("show", flag.ExitOnError)
 		programsShowProgramFlag = programsShowFlags.String("program", "REQUIRED", "Id of a program or sub-agent")
 		programsShowTokenFlag   = programsShowFlags.String("token", "", "")
+
+		viewFlags = flag.NewFlagSet("view", flag.ContinueOnError)
+
+		viewShowFlags = flag.NewFlagSet("show", flag.ExitOnError)
 	)
 	addressesFlags.Usage = addressesUsage
 	addressesListFlags.Usage = addressesListUsage
@@ -127,6 +134,9 @@
 	programsEndFlags.Usage = programsEndUsage
 	programsShowFlags.Usage = programsShowUsage
 
+	viewFlags.Usage = viewUsage
+	viewShowFlags.Usage = viewShowUsage
+
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
 	}
@@ -150,6 +160,8 @@
 			svcf = statusFlags
 		case "programs":
 			svcf = programsFlags
+		case "view":
+			svcf = viewFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -217,6 +229,13 @@
 
 			}
 
+		case "view":
+			switch epn {
+			case "show":
+				epf = viewShowFlags
+
+			}
+
 		}
 	}
 	if epf == nil {
@@ -289,6 +308,12 @@
 				endpoint = c.Show()
 				data, err = programsc.BuildShowPayload(*programsShowProgramFlag, *programsShowTokenFlag)
 			}
+		case "view":
+			c := viewc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "show":
+				endpoint = c.Show()
+			}
 		}
 	}
 	if err != nil {
@@ -326,7 +351,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "addresses list --account \"a71\" --token \"Quam asperiores.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "addresses list --account \"uqr\" --token \"Mollitia ipsa eum eius aut quam.\"")
 }
 
 // plansUsage displays the usage of the plans command and its subcommands.
@@ -358,7 +383,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans create --body '{\n      \"intent\": \"1\"\n   }' --token \"Aut impedit consequatur ea consequatur ullam dolor.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans create --body '{\n      \"intent\": \"zi\"\n   }' --token \"Incidunt est ut id maxime nisi sit.\"")
 }
 
 func plansShowUsage() {
@@ -378,7 +403,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans show --plan \"q\" --token \"Beatae impedit aliquam aspernatur distinctio voluptatem dolore.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans show --plan \"G\" --token \"Perspiciatis est aliquid recusandae voluptatibus ex.\"")
 }
 
 func plansConfirmUsage() {
@@ -398,7 +423,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans confirm --plan \"4b\" --token \"Consequatur enim molestiae.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "plans confirm --plan \"I\" --token \"Est distinctio et aut.\"")
 }
 
 // statusUsage displays the usage of the status command and its subcommands.
@@ -428,7 +453,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status show --token \"Non voluptatem laboriosam voluptas officia qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status show --token \"Sunt minima recusandae et laboriosam.\"")
 }
 
 func statusUpstreamsUsage() {
@@ -446,7 +471,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status upstreams --token \"Ex quia praesentium sint tempora quidem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status upstreams --token \"Eaque porro voluptas.\"")
 }
 
 func statusVmsUsage() {
@@ -464,7 +489,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status vms --token \"Laborum deserunt assumenda asperiores eius et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "status vms --token \"Repellat voluptatibus hic labore iusto quasi.\"")
 }
 
 // programsUsage displays the usage of the programs command and its subcommands.
@@ -498,7 +523,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs open --body '{\n      \"budget\": {\n         \"calls\": 356591639097202932,\n         \"seconds\": 13415590,\n         \"tokens\": 3989703777860793468\n      },\n      \"class\": \"r\",\n      \"program\": \"f0m\"\n   }' --token \"Nesciunt exercitationem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs open --body '{\n      \"budget\": {\n         \"calls\": 3355618316312755571,\n         \"seconds\": 6253081,\n         \"tokens\": 9162522595596518549\n      },\n      \"class\": \"2o\",\n      \"program\": \"0g3j\"\n   }' --token \"Impedit odio.\"")
 }
 
 func programsChildUsage() {
@@ -520,7 +545,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs child --body '{\n      \"child\": \"n8-.2\"\n   }' --program \"fqo\" --token \"Reiciendis aperiam aliquam nesciunt nesciunt id aliquid.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs child --body '{\n      \"child\": \"kt2.5.2437\"\n   }' --program \"0--a.5950\" --token \"Alias aut.\"")
 }
 
 func programsCallUsage() {
@@ -542,7 +567,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs call --body '{\n      \"body\": \"Repellat asperiores rerum recusandae.\",\n      \"call_id\": \"7Y\",\n      \"first_submission\": false,\n      \"max_tokens\": 8722039629362857312,\n      \"operation\": \"qo2\",\n      \"pool\": \"b\",\n      \"position\": 3037047188165122319\n   }' --program \"vlfq\" --token \"Repellendus molestias est repellat enim.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs call --body '{\n      \"body\": \"Eaque expedita.\",\n      \"call_id\": \"K6Rja-\",\n      \"first_submission\": false,\n      \"max_tokens\": 9047068847804159880,\n      \"operation\": \"fid\",\n      \"pool\": \"fj\",\n      \"position\": 8927207718867928434\n   }' --program \"zit.6.9\" --token \"Numquam enim recusandae nihil doloremque at debitis.\"")
 }
 
 func programsEndUsage() {
@@ -562,7 +587,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs end --program \"2y8a.1096.0\" --token \"Rerum natus quam illum eveniet aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs end --program \"n2c.7\" --token \"Quae ex non maiores ut nisi.\"")
 }
 
 func programsShowUsage() {
@@ -582,5 +607,31 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs show --program \"okg8.1\" --token \"Velit aut repellendus magnam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "programs show --program \"izm.16.2\" --token \"Est aliquid sed.\"")
+}
+
+// viewUsage displays the usage of the view command and its subcommands.
+func viewUsage() {
+	fmt.Fprintln(os.Stderr, `What one entry VM believes and how old that is; anyone may read it on the metrics address`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] view COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    show: Show implements show.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s view COMMAND --help\n", os.Args[0])
+}
+func viewShowUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] view show", os.Args[0])
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Show implements show.`)
+
+	// Flags list
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "view show")
 }
--- a/gen/http/plans/client/cli.go
+++ b/gen/http/plans/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(plansCreateBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"intent\": \"1\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"intent\": \"zi\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Intent) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.intent", body.Intent, utf8.RuneCountInString(body.Intent), 1, true))
--- a/gen/http/programs/client/cli.go
+++ b/gen/http/programs/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(programsOpenBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"budget\": {\n         \"calls\": 356591639097202932,\n         \"seconds\": 13415590,\n         \"tokens\": 3989703777860793468\n      },\n      \"class\": \"r\",\n      \"program\": \"f0m\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"budget\": {\n         \"calls\": 3355618316312755571,\n         \"seconds\": 6253081,\n         \"tokens\": 9162522595596518549\n      },\n      \"class\": \"2o\",\n      \"program\": \"0g3j\"\n   }'")
 		}
 		if body.Budget == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("budget", "body"))
@@ -71,7 +71,7 @@
 	{
 		err = json.Unmarshal([]byte(programsChildBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"child\": \"n8-.2\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"child\": \"kt2.5.2437\"\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.child", body.Child, "^[a-z0-9][a-z0-9-]{2,63}(\\.[0-9]{1,4})+$"))
 		if err != nil {
@@ -109,7 +109,7 @@
 	{
 		err = json.Unmarshal([]byte(programsCallBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Repellat asperiores rerum recusandae.\",\n      \"call_id\": \"7Y\",\n      \"first_submission\": false,\n      \"max_tokens\": 8722039629362857312,\n      \"operation\": \"qo2\",\n      \"pool\": \"b\",\n      \"position\": 3037047188165122319\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Eaque expedita.\",\n      \"call_id\": \"K6Rja-\",\n      \"first_submission\": false,\n      \"max_tokens\": 9047068847804159880,\n      \"operation\": \"fid\",\n      \"pool\": \"fj\",\n      \"position\": 8927207718867928434\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.call_id", body.CallID, "^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$"))
 		if body.Position < 1 {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -21,10 +21,12 @@
 	planclient "github.com/sassafrasspur/sassafrasspur/gen/http/plans/client"
 	programclient "github.com/sassafrasspur/sassafrasspur/gen/http/programs/client"
 	statusclient "github.com/sassafrasspur/sassafrasspur/gen/http/status/client"
+	viewclient "github.com/sassafrasspur/sassafrasspur/gen/http/view/client"
 	"github.com/sassafrasspur/sassafrasspur/gen/plans"
 	"github.com/sassafrasspur/sassafrasspur/gen/problem"
 	"github.com/sassafrasspur/sassafrasspur/gen/programs"
 	"github.com/sassafrasspur/sassafrasspur/gen/status"
+	"github.com/sassafrasspur/sassafrasspur/gen/view"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 )
@@ -179,6 +181,12 @@
 	return send[[]*status.VM](ctx, c, func(host string) goa.Endpoint { return c.status(host).Vms() }, p)
 }
 
+// View returns what one VM believes. The addresses of this client are metrics
+// addresses for it.
+func (c *Client) View(ctx context.Context) (*view.ShowResult, error) {
+	return send[*view.ShowResult](ctx, c, func(host string) goa.Endpoint { return c.view(host).Show() }, nil)
+}
+
 const scheme = "http"
 
 func (c *Client) addresses(host string) *addressclient.Client {
@@ -197,6 +205,10 @@
 	return statusclient.NewClient(scheme, host, c.doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 }
 
+func (c *Client) view(host string) *viewclient.Client {
+	return viewclient.NewClient(scheme, host, c.doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+}
+
 // send sends a request whose answer is one value.
 func send[T any](ctx context.Context, c *Client, endpoint func(host string) goa.Endpoint, payload any) (T, error) {
 	var result T
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -162,6 +162,11 @@
 	return failure.New(unhealthy, "the system has problems; take the next steps that the status names")
 }
 
+// View shows what the VM at a metrics address believes.
+func (c *Commander) View(ctx context.Context) error {
+	return show(c.printer.View)(c.client.View(ctx))
+}
+
 // Upstreams lists the upstreams.
 func (c *Commander) Upstreams(ctx context.Context) error {
 	return show(c.printer.Upstreams)(c.client.Upstreams(ctx))
--- a/internal/enroller/addresses.go
+++ b/internal/enroller/addresses.go
@@ -10,7 +10,7 @@
 // and needs another.
 const enough = 2
 
-// Addresses returns the addresses for a caller: those in its failure domain if
+// Addresses returns the addresses of the users' interface for a caller: those in its failure domain if
 // there are enough, else those in its region, else all.
 func Addresses(members []snapshot.Member, domain ident.Domain, region ident.Region) []string {
 	nearby := choose(members, func(m snapshot.Member) bool { return m.Domain == domain })
@@ -27,8 +27,8 @@
 func choose(members []snapshot.Member, fits func(snapshot.Member) bool) []string {
 	var addresses []string
 	for _, m := range members {
-		if fits(m) {
-			addresses = append(addresses, m.Address)
+		if m.RequestAddress != "" && fits(m) {
+			addresses = append(addresses, m.RequestAddress)
 		}
 	}
 	return addresses
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -37,10 +37,11 @@
 
 // memberRow is the row of an entry VM.
 type memberRow struct {
-	Address string       `json:"address"`
-	Peer    string       `json:"peer"`
-	Domain  ident.Domain `json:"domain"`
-	Region  ident.Region `json:"region"`
+	Address  string       `json:"address"`
+	Requests string       `json:"requests"`
+	Peer     string       `json:"peer"`
+	Domain   ident.Domain `json:"domain"`
+	Region   ident.Region `json:"region"`
 	// Process is the id of the process that wrote the row.
 	Process ident.ProcessID `json:"process"`
 	Leaving bool            `json:"leaving"`
@@ -54,7 +55,7 @@
 	self     snapshot.Member
 	interval time.Duration
 
-	routed  bool
+	serving bool
 	leaving bool
 	// leavingSince is when the VM was asked to stop.
 	leavingSince time.Time
@@ -81,11 +82,11 @@
 	switch m := m.(type) {
 	case message.Started, message.Tick:
 		return e.reader.Handle(now, m)
-	case message.RoutesChanged, message.ConfigurationRead:
-		if !e.routed {
-			e.routed = true
-			return e.hasten(now)
-		}
+	case message.RoutesChanged:
+		return e.serve(now, e.self.RequestAddress != "")
+	case message.ConfigurationRead:
+		// A deployment with routes may never get a configuration.
+		return e.serve(now, e.self.RequestAddress == "")
 	case message.ShutdownRequested:
 		e.leaving, e.leavingSince = true, now
 		return append(e.hasten(now), effect.Publish{})
@@ -99,6 +100,15 @@
 	return nil
 }
 
+// serve notes that the VM knows what it needs to serve callers.
+func (e *Enroller) serve(now time.Time, enough bool) []effect.Effect {
+	if !enough || e.serving {
+		return nil
+	}
+	e.serving = true
+	return e.hasten(now)
+}
+
 // hasten reads, and then writes, without waiting for the interval. A read that
 // is under way serves as well.
 func (e *Enroller) hasten(now time.Time) []effect.Effect {
@@ -132,7 +142,7 @@
 			continue
 		}
 		member := snapshot.Member{
-			VM: ident.VMID(row.Key), Process: other.Process, Address: other.Address, PeerAddress: other.Peer,
+			VM: ident.VMID(row.Key), Process: other.Process, Address: other.Address, RequestAddress: other.Requests, PeerAddress: other.Peer,
 			Domain: other.Domain, Region: other.Region, Leaving: other.Leaving,
 		}
 		e.present = append(e.present, member)
@@ -143,15 +153,15 @@
 	self := e.self
 	self.Leaving = e.leaving
 	e.present = append(e.present, self)
-	if e.routed && !e.leaving {
+	if e.serving && !e.leaving {
 		e.members = append(e.members, self)
 	}
 	for _, list := range [][]snapshot.Member{e.members, e.present} {
 		slices.SortFunc(list, func(a, b snapshot.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	}
 	value, err := json.Marshal(memberRow{
-		Address: e.self.Address, Peer: e.self.PeerAddress, Domain: e.self.Domain, Region: e.self.Region, Process: e.self.Process,
-		Leaving: e.leaving, Ready: e.routed, WrittenAt: m.Page.Clock,
+		Address: e.self.Address, Requests: e.self.RequestAddress, Peer: e.self.PeerAddress, Domain: e.self.Domain, Region: e.self.Region, Process: e.self.Process,
+		Leaving: e.leaving, Ready: e.serving, WrittenAt: m.Page.Clock,
 	})
 	if err == nil {
 		transaction.Conditions = append(transaction.Conditions, condition)
@@ -197,7 +207,7 @@
 	view.Entry.Members, view.Entry.Present, view.Entry.MembersAsOf = e.members, e.present, e.asOf
 	view.Entry.Enrolled, view.Entry.LeavingAnnounced = e.enrolled, e.announced
 	view.Entry.Leaving, view.Entry.LeavingSince = e.leaving, e.leavingSince
-	if e.members == nil && e.routed && !e.leaving {
+	if e.members == nil && e.serving && !e.leaving {
 		view.Entry.Members = []snapshot.Member{e.self}
 	}
 }
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -39,7 +39,7 @@
 
 // decider keeps the controller from line to line.
 func decider() func(line string) string {
-	e := enroller.New(snapshot.Member{VM: "self", Address: "self:1", Domain: "d1", Region: "r1", Process: "process"}, enroller.DefaultInterval)
+	e := enroller.New(snapshot.Member{VM: "self", RequestAddress: "self:1", Domain: "d1", Region: "r1", Process: "process"}, enroller.DefaultInterval)
 	now, clock := time.Unix(0, 0), time.Hour
 	e.Handle(now, message.Started{})
 	return func(line string) string {
@@ -118,7 +118,7 @@
 		for _, text := range strings.Split(f["members"], ",") {
 			name, place, _ := strings.Cut(text, "@")
 			domain, region, _ := strings.Cut(place, "/")
-			members = append(members, snapshot.Member{Address: name, Domain: ident.Domain(domain), Region: ident.Region(region)})
+			members = append(members, snapshot.Member{RequestAddress: name, Domain: ident.Domain(domain), Region: ident.Region(region)})
 		}
 		return strings.Join(enroller.Addresses(members, ident.Domain(f["domain"]), ident.Region(f["region"])), ",")
 	})).To(Succeed())
--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -9,19 +9,19 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/sassafrasspur/sassafrasspur"
 	"github.com/sassafrasspur/sassafrasspur/ident"
-	"github.com/sassafrasspur/sassafrasspur/internal/entrysettings"
 	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/settings"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/replica"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowserver"
@@ -41,7 +41,7 @@
 
 // vm is an entry VM that runs until stop is called.
 type vm struct {
-	settings entrysettings.Settings
+	settings settings.Settings
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -65,7 +65,7 @@
 	for _, of := range d.vms {
 		for _, other := range d.vms {
 			g.Eventually(func() string { return d.resolve(g, of) }, 5*time.Second, 50*time.Millisecond).
-				Should(ContainSubstring(other.settings.CallersAddress))
+				Should(ContainSubstring(other.settings.Ingress.Requests.String()))
 		}
 	}
 	return d
@@ -73,7 +73,7 @@
 
 // resolve asks an entry VM where to connect.
 func (d *deployment) resolve(g *WithT, v *vm) string {
-	response, err := d.client.Get("http://" + v.settings.DirectoryAddress + "/api/resolve?zone=domain&region=region")
+	response, err := d.client.Get("http://" + v.settings.Ingress.Directory.String() + "/api/resolve?zone=domain&region=region")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
@@ -128,29 +128,27 @@
 }
 
 // freeAddress returns an address of the loopback interface that was free.
-func freeAddress(g *WithT) string {
+func freeAddress(g *WithT) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { g.Expect(l.Close()).To(Succeed()) }()
-	return l.Addr().String()
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 func (d *deployment) start(g *WithT, name string) {
-	port := 0
-	_, err := fmt.Sscanf(freeAddress(g), "127.0.0.1:%d", &port)
-	g.Expect(err).NotTo(HaveOccurred())
-	s := entrysettings.Settings{
+	s := settings.Settings{
 		VM: ident.VMID(name), Domain: "domain", Region: "region", Regions: map[ident.Domain]ident.Region{"domain": "region"},
-		CallersAddress: freeAddress(g), ReadinessAddress: freeAddress(g), DirectoryAddress: freeAddress(g), MetricsAddress: freeAddress(g),
-		PeerIP: "127.0.0.1", PeerPorts: []int{port, port}, Grace: d.grace, StoreAddress: d.store.Listener.Addr().String(),
+		PeerAddress: freeAddress(g), MetricsAddress: freeAddress(g),
+		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace},
+		Platform: settings.Platform{StoreAddress: netip.MustParseAddrPort(d.store.Listener.Addr().String())},
 	}
-	entry, err := sassafrasspur.NewEntry(s, sassafrasspur.WithEntryLog(zerolog.Nop()))
+	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(io.Discard))
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{settings: s, stop: stop, done: make(chan error, 1)}
-	go func() { v.done <- entry.Run(ctx) }()
+	go func() { v.done <- node.Run(ctx) }()
 	d.vms = append(d.vms, v)
-	g.Eventually(func() int { return d.status("http://" + s.ReadinessAddress + "/api/readyz") }, 5*time.Second, 20*time.Millisecond).Should(Equal(200))
+	g.Eventually(func() int { return d.status("http://" + s.Ingress.Readiness.String() + "/api/readyz") }, 5*time.Second, 20*time.Millisecond).Should(Equal(200))
 }
 
 func (d *deployment) status(url string) int {
@@ -177,7 +175,7 @@
 
 // send sends a request to an entry VM and returns the status and the body.
 func (d *deployment) send(v *vm, method, path string, header map[string]string, body string) string {
-	request, err := http.NewRequest(method, "http://"+v.settings.CallersAddress+path, bytes.NewReader([]byte(body)))
+	request, err := http.NewRequest(method, "http://"+v.settings.Ingress.Requests.String()+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return err.Error()
 	}
@@ -296,8 +294,8 @@
 		g.Expect(answer).To(HavePrefix("200"))
 		time.Sleep(50 * time.Millisecond)
 	}
-	g.Eventually(resolve, 3*time.Second, 50*time.Millisecond).ShouldNot(ContainSubstring(d.vms[0].settings.CallersAddress))
-	g.Expect(d.status("http://" + d.vms[0].settings.ReadinessAddress + "/api/readyz")).NotTo(Equal(200))
+	g.Eventually(resolve, 3*time.Second, 50*time.Millisecond).ShouldNot(ContainSubstring(d.vms[0].settings.Ingress.Requests.String()))
+	g.Expect(d.status("http://" + d.vms[0].settings.Ingress.Readiness.String() + "/api/readyz")).NotTo(Equal(200))
 	g.Expect(<-d.vms[0].done).To(Succeed())
 	d.vms[0].done <- nil
 }
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/tools/txtar"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/loader"
 	"github.com/sassafrasspur/sassafrasspur/internal/router"
 )
@@ -68,6 +69,27 @@
 	}
 })
 
+// Guards against a template for the users' platform that the daemon refuses, or
+// that serves something else than the platform asks for.
+var _ = It("loads the template of the platform", func() {
+	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	Expect(err).NotTo(HaveOccurred())
+	text := strings.NewReplacer(
+		"{{nodeName|json}}", `"edge-1"`, "{{zone|json}}", `"kl-a"`, "{{region|json}}", `"semenanjung"`,
+		"{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
+		"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
+		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8",
+		"{{#zones}}\n", "", "{{/zones}}\n", "", "{{@}} = {{.|json}}", `kl-a = "semenanjung"`,
+	).Replace(string(template))
+	s, err := loader.New().Parse("settings.toml", text)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.CallerAddress.IsValid()).To(BeFalse())
+	Expect(s.Ingress.Requests.String()).To(Equal("127.0.0.1:1"))
+	Expect(s.Ingress.Grace).To(Equal(8 * time.Second))
+	Expect(s.Regions).To(HaveKeyWithValue(ident.Domain("kl-a"), ident.Region("semenanjung")))
+	Expect(s.PeerAddress.String()).To(Equal("127.0.0.1:7380"))
+})
+
 // Guards against defaults that break a bound or a rule, values that are stored
 // at another key, and choices of the table that no code knows.
 var _ = It("loads a file with required keys only", func() {
--- a/internal/loader/reader.go
+++ b/internal/loader/reader.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/settings"
 )
 
@@ -40,9 +41,13 @@
 	r.keys("", "", "", document, scope)
 	for _, table := range tables[1:] {
 		value, ok := document[table]
-		if table == settings.AccountsTable {
+		switch table {
+		case settings.AccountsTable:
 			r.accounts(value, ok)
 			continue
+		case settings.RegionsTable:
+			r.regions(value, ok)
+			continue
 		}
 		content, isTable := value.(map[string]any)
 		if ok && !isTable {
@@ -58,13 +63,9 @@
 func (r *reader) accounts(value any, ok bool) {
 	const table = settings.AccountsTable
 	elements, isArray := tablesOf(value)
-	switch {
-	case ok && !isArray:
+	if ok && !isArray {
 		r.report(table, table, "is no array of tables; write [[%s]] above each account", table)
 		return
-	case len(elements) == 0:
-		r.report(table, table, "there is no account, so that no request would be accepted; add a table [[%s]]", table)
-		return
 	}
 	r.settings.Accounts = make([]settings.Account, len(elements))
 	for i, element := range elements {
@@ -74,6 +75,28 @@
 	}
 }
 
+// regions reads the table whose keys are failure domains.
+func (r *reader) regions(value any, ok bool) {
+	const table = settings.RegionsTable
+	content, isTable := value.(map[string]any)
+	if ok && !isTable {
+		r.report(table, table, "is no table; write [%s]", table)
+		return
+	}
+	r.settings.Regions = map[ident.Domain]ident.Region{}
+	for _, key := range settings.Keys() {
+		if key.Table != table {
+			continue
+		}
+		for domain, region := range content {
+			scope := settings.Scope{Settings: r.settings, FailureDomain: ident.Domain(domain)}
+			if message := assign(key, scope, region); message != "" {
+				r.report(join(table, domain), join(table, printable(domain)), "%s", message)
+			}
+		}
+	}
+}
+
 // tablesOf returns the elements of an array of tables. The library gives them
 // as []any if they are inline tables.
 func tablesOf(value any) ([]map[string]any, bool) {
@@ -115,6 +138,9 @@
 			r.report(join(path, key.Name), join(name, key.Name), "is missing; add %s (%s)", key.Name, settings.Bounds(key.Kind))
 			continue
 		}
+		if !ok && key.Default == "" {
+			continue
+		}
 		if !ok {
 			value = key.Default
 		}
--- a/internal/loader/rules.go
+++ b/internal/loader/rules.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 // rules checks what holds between keys.
 func (r *reader) rules() {
 	s := r.settings
+	r.interfaces()
 	r.below("freshness.interval", s.Freshness.Interval, "freshness.configuration", s.Freshness.Configuration)
 	r.below("freshness.interval", s.Freshness.Interval, "freshness.upstreams", s.Freshness.Upstreams)
 	r.atMost("limits.first_byte", s.Limits.FirstByte, "limits.call_time", s.Limits.CallTime)
@@ -19,6 +21,28 @@
 	r.distinct()
 }
 
+// interfaces checks that an interface is served, and what each needs.
+func (r *reader) interfaces() {
+	s := r.settings
+	if r.usable("caller_address", "ingress.requests") && !s.CallerAddress.IsValid() && !s.Ingress.Requests.IsValid() {
+		r.report("caller_address", "caller_address", "is missing, and so is ingress.requests, so that nothing would be served; add one of them")
+	}
+	if r.usable("caller_address", settings.AccountsTable) && s.CallerAddress.IsValid() && len(s.Accounts) == 0 {
+		r.report(settings.AccountsTable, settings.AccountsTable,
+			"there is no account, so that no request at caller_address would be accepted; add a table [[%s]]", settings.AccountsTable)
+	}
+	if !s.Ingress.Requests.IsValid() {
+		return
+	}
+	for path, address := range map[string]netip.AddrPort{
+		"ingress.readiness": s.Ingress.Readiness, "ingress.directory": s.Ingress.Directory, "peer_address": s.PeerAddress,
+	} {
+		if r.usable(path) && !address.IsValid() {
+			r.report(path, path, "is missing, and ingress.requests needs it; add it")
+		}
+	}
+}
+
 // distinct checks that accounts share neither ids nor tokens.
 func (r *reader) distinct() {
 	ids := map[ident.AccountID]int{}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -93,6 +94,13 @@
 	return l.with(l.log.With().Float64(key+"_seconds", d.Seconds()).Logger())
 }
 
+// Started writes the line that says that the addresses are bound, whatever the
+// lowest level is: it is the first line, and scripts read the addresses from it.
+// Addresses that are not served are empty.
+func (l *Logger) Started(callers, requests string) {
+	l.log.Log().Int("pid", os.Getpid()).Str("caller_address", callers).Str("request_address", requests).Msg("started")
+}
+
 // Debug writes a line. The message is a fixed text.
 func (l *Logger) Debug(message string) { l.log.Debug().Msg(message) }
 
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -37,8 +38,11 @@
 	Expect(p.command.Start()).To(Succeed())
 	line := make(chan string, 1)
 	go func() {
-		text, _ := bufio.NewReader(output).ReadString('\n')
+		reader := bufio.NewReader(output)
+		text, _ := reader.ReadString('\n')
 		line <- text
+		// What follows the ready line of an entry VM is its log.
+		_, _ = io.Copy(log, reader)
 		_ = p.command.Wait()
 		p.code.Store(int32(p.command.ProcessState.ExitCode()))
 		_ = log.Close()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -133,6 +133,15 @@
 	return t
 }
 
+// Len returns the number of routes.
+func (t *Table) Len() int {
+	n := 0
+	for _, routes := range t.hosts {
+		n += len(routes)
+	}
+	return n
+}
+
 // Match returns the route with the longest prefix of a host's path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, route := range t.hosts[strings.ToLower(host)] {
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -10,7 +10,7 @@
 
 <!-- Generated from internal/settings/keys.go by: go test ./internal/settings -update -->
 
-The daemon reads one TOML file. Durations are texts with a unit, such as "250ms", "6s" or "1m30s". Addresses have IP numbers, never host names. A name has up to %d letters, digits, dots, underscores and hyphens and begins with a letter or a digit. Unknown keys are errors. All errors of a file are reported in one run.
+The daemon reads one TOML file. It serves the product's own interface, the users' interface, or both. Durations are texts with a unit, such as "250ms", "6s" or "1m30s". Addresses have IP numbers, never host names. A name has up to %d letters, digits, dots, underscores and hyphens and begins with a letter or a digit. Unknown keys are errors. All errors of a file are reported in one run.
 `
 
 // Document returns the documentation of the table in Markdown.
@@ -33,7 +33,7 @@
 	case "":
 		return "Top level"
 	case AccountsTable:
-		return "`[[" + table + "]]` (at least one)"
+		return "`[[" + table + "]]` (at least one with caller_address)"
 	default:
 		return "`[" + table + "]`"
 	}
@@ -44,6 +44,9 @@
 	case nil:
 		return "required"
 	case string:
+		if value == "" {
+			return "none"
+		}
 		return fmt.Sprintf("`%q`", value)
 	default:
 		return fmt.Sprintf("`%v`", value)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -32,14 +32,30 @@
 			func(s Scope, v string) { s.Region = ident.Region(v) }}},
 		{"", "domain", unitName, nil, "failure domain of this VM", Name{
 			func(s Scope, v string) { s.Domain = ident.Domain(v) }}},
-		{"", "caller_address", unitAddress, nil, "address on which callers and operators are served", Address{
+		{"", "caller_address", unitAddress, "", "address of the product's own interface, for callers and operators; not served without it", Address{
 			func(s Scope, v netip.AddrPort) { s.CallerAddress = v }}},
+		{"", "peer_address", unitAddress, "", "address for other entry VMs; required with ingress.requests", Address{
+			func(s Scope, v netip.AddrPort) { s.PeerAddress = v }}},
+		{"", "metrics_address", unitAddress, "", "address of metrics and of the VM's view, which anyone may read; not served without it", Address{
+			func(s Scope, v netip.AddrPort) { s.MetricsAddress = v }}},
 		{"", "log_level", unitChoice, "info", "lowest level of the lines that are logged", Choice{
 			[]string{"debug", "info", "warn", "error"}, setLogLevel}},
 
 		{"platform", "store_address", unitAddress, nil, "address of the platform's store", Address{
 			func(s Scope, v netip.AddrPort) { s.Platform.StoreAddress = v }}},
 
+		{RegionsTable, "FAILURE_DOMAIN", unitName, "", "region of a failure domain, for distances; one key for each", Name{
+			func(s Scope, v string) { s.Regions[s.FailureDomain] = ident.Region(v) }}},
+
+		{"ingress", "requests", unitAddress, "", "address of the users' interface; not served without it", Address{
+			func(s Scope, v netip.AddrPort) { s.Ingress.Requests = v }}},
+		{"ingress", "readiness", unitAddress, "", "address that says whether the VM is ready; required with requests", Address{
+			func(s Scope, v netip.AddrPort) { s.Ingress.Readiness = v }}},
+		{"ingress", "directory", unitAddress, "", "address that says which addresses to use; required with requests", Address{
+			func(s Scope, v netip.AddrPort) { s.Ingress.Directory = v }}},
+		{"ingress", "grace", unitDuration, "8s", "time from SIGTERM until the process is killed", Duration{2 * time.Second, time.Hour, 0,
+			func(s Scope, v time.Duration) { s.Ingress.Grace = v }}},
+
 		{"freshness", "configuration", unitDuration, "5s", "age of the configuration above which new work is refused", Duration{100 * ms, 5 * time.Second, 0,
 			func(s Scope, v time.Duration) { s.Freshness.Configuration = v }}},
 		{"freshness", "upstreams", unitDuration, "5s", "age of the view of an upstream above which it gets no new work", Duration{100 * ms, 5 * time.Second, 0,
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
 )
 
 // Kind says which values a key takes and where they go. The interface is
@@ -15,7 +17,8 @@
 	Name struct {
 		Set func(Scope, string)
 	}
-	// Address is an IP number and a port.
+	// Address is an IP number and a port. An address whose default is an empty
+	// text may be left out.
 	Address struct {
 		Set func(Scope, netip.AddrPort)
 	}
@@ -53,6 +56,8 @@
 	*Settings
 	// Account is the element of the accounts; nil for the other keys.
 	Account *Account
+	// FailureDomain is the key of the regions; empty for the other keys.
+	FailureDomain ident.Domain
 }
 
 // Key is one row of the table.
@@ -71,6 +76,9 @@
 // MaxNameLength bounds a Name in bytes. Names are parts of table row keys.
 const MaxNameLength = 64
 
+// RegionsTable has a key for each failure domain, whose value is the region.
+const RegionsTable = "regions"
+
 // AccountsTable is the array of tables that has one element for each account.
 const AccountsTable = "accounts"
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,15 +17,33 @@
 	VM     ident.VMID
 	Region ident.Region
 	Domain ident.Domain
-	// CallerAddress may have port 0, by which the system chooses a free port.
+	// CallerAddress is where the product's own interface is served; it is not
+	// valid if the VM does not serve it. Port 0 lets the system choose a free one.
 	CallerAddress netip.AddrPort
-	LogLevel      zerolog.Level
-	Platform      Platform
-	Freshness     Freshness
-	Addresses     Addresses
-	Accounts      []Account
-	Limits        Limits
-	Placement     Placement
+	// PeerAddress is where other entry VMs connect, if it is valid.
+	PeerAddress netip.AddrPort
+	// MetricsAddress is where metrics are served to anyone, if it is valid.
+	MetricsAddress netip.AddrPort
+	LogLevel       zerolog.Level
+	Ingress        Ingress
+	// Regions has the region of each failure domain.
+	Regions   map[ident.Domain]ident.Region
+	Platform  Platform
+	Freshness Freshness
+	Addresses Addresses
+	Accounts  []Account
+	Limits    Limits
+	Placement Placement
+}
+
+// Ingress says where the users' interface is served.
+type Ingress struct {
+	// Requests is not valid if the VM does not serve the interface.
+	Requests  netip.AddrPort
+	Readiness netip.AddrPort
+	Directory netip.AddrPort
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
 }
 
 // Platform says how the platform is reached.
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -7,8 +7,8 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 )
 
-// Entry is the part of the view for entry VMs of a deployment whose routes the
-// operator writes to the platform's store.
+// Entry is the part of the view about entry VMs, upstreams and the routes that the
+// users' operator writes to the platform's store.
 type Entry struct {
 	// Routes is nil until the first version was read.
 	Routes     *routing.Table
@@ -35,8 +35,13 @@
 type Member struct {
 	VM      ident.VMID
 	Process ident.ProcessID
+	// Address is where callers of the product's own interface connect, empty if
+	// the VM does not serve it.
 	Address string
-	// PeerAddress is where other entry VMs connect.
+	// RequestAddress is where callers of the users' interface connect, empty if
+	// the VM does not serve it.
+	RequestAddress string
+	// PeerAddress is where other entry VMs connect, empty if they can't.
 	PeerAddress string
 	Domain      ident.Domain
 	Region      ident.Region
--- a/internal/standin/soak/runner/runner_test.go
+++ b/internal/standin/soak/runner/runner_test.go
@@ -30,7 +30,7 @@
 func TestSoak(t *testing.T) {
 	g := NewWithT(t)
 	binary := filepath.Join(t.TempDir(), "entry")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/sassafrasspur/sassafrasspur/cmd/sassafrasspur-entry").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/sassafrasspur/sassafrasspur/cmd/sassafrasspurd").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
 	for _, seed := range seeds {
 		report, err := runner.New(runner.Options{
--- a/internal/standin/soak/runner/vm.go
+++ b/internal/standin/soak/runner/vm.go
@@ -81,29 +81,26 @@
 	if err != nil {
 		return nil, err
 	}
-	_, port, err := net.SplitHostPort(addresses[4])
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
 	v := &vm{
 		name: name, binary: binary, settings: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log"),
 		callers: addresses[0], readiness: addresses[1], store: store,
 	}
 	text := fmt.Sprintf(`vm = %q
-failure_domain = %q
+domain = %q
 region = "region"
-callers_address = %q
-readiness_address = %q
-directory_address = %q
 metrics_address = %q
-peer_ip = "127.0.0.1"
-peer_ports = [%s, %s]
-grace = "8s"
+peer_address = %q
+[platform]
 store_address = %q
+[ingress]
+requests = %q
+readiness = %q
+directory = %q
+grace = "8s"
 [regions]
 a = "region"
 b = "region"
-`, name, domain, addresses[0], addresses[1], addresses[2], addresses[3], port, port, store.Address())
+`, name, domain, addresses[3], addresses[4], store.Address(), addresses[0], addresses[1], addresses[2])
 	return v, errors.Trace(os.WriteFile(v.settings, []byte(text), 0o600))
 }
 
--- a/options.go
+++ b/options.go
@@ -16,7 +16,7 @@
 	return func(n *Node) { n.settings = s }
 }
 
-// WithLog sets where log lines go; the default is the standard error.
+// WithLog sets where log lines go; the default is the standard output.
 func WithLog(w io.Writer) Option {
 	return func(n *Node) { n.output = w }
 }
@@ -27,5 +27,5 @@
 }
 
 func defaults() *Node {
-	return &Node{output: os.Stderr, timers: timer.New()}
+	return &Node{output: os.Stdout, timers: timer.New()}
 }
