relay: peers are searched less and less often in an outage for all

Cause: while the store answered no VM, each VM asked each other one through every call that it made, up to once a second each, and each of those called the store.

After a call that no peer could carry out, peers are asked again after 25 ms, which doubles up to 400 ms until one reaches the store.

Ruled out: fewer direct tries (one a second for each VM already).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,12 @@
 	// peerPause is how long a peer is passed over that could not reach the
 	// store either.
 	peerPause = time.Second
+	// searchPause is the time without calls through peers after a call that
+	// none of its peers could carry out. It doubles with each further one, up to
+	// longestSearchPause: in an outage for all, each VM would otherwise ask each
+	// other one in every second.
+	searchPause        = 25 * time.Millisecond
+	longestSearchPause = 400 * time.Millisecond
 	// candidates bounds the peers that one call asks.
 	candidates = 2
 )
@@ -57,7 +63,11 @@
 	directAfter time.Time
 	// passOver has the peers that are not asked until a time.
 	passOver map[string]time.Time
-	next     int
+	// searches counts the calls in a row that no peer could carry out, and
+	// searchAfter is when peers are asked again.
+	searches    int
+	searchAfter time.Time
+	next        int
 }
 
 // New returns the store of a VM. The view has the members that serve callers.
@@ -98,17 +108,22 @@
 			return answer, err
 		}
 	}
-	for _, peer := range r.choose() {
+	asked := r.choose()
+	for _, peer := range asked {
 		if ctx.Err() != nil {
-			break
+			return answer, err
 		}
 		relayedAnswer, relayedErr := relayed(peer)
 		if !isOutage(relayedErr) {
+			r.noteSearch(true)
 			return relayedAnswer, relayedErr
 		}
 		r.notePeer(peer)
 		err = worse(err, relayedErr)
 	}
+	if len(asked) > 0 {
+		r.noteSearch(false)
+	}
 	return answer, err
 }
 
@@ -169,12 +184,27 @@
 	r.passOver[peer] = r.timers.Now().Add(peerPause)
 }
 
+// noteSearch notes whether a call was carried out by a peer.
+func (r *Relay) noteSearch(found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if found {
+		r.searches, r.searchAfter = 0, time.Time{}
+		return
+	}
+	r.searchAfter = r.timers.Now().Add(min(searchPause<<min(r.searches, 10), longestSearchPause))
+	r.searches++
+}
+
 // choose returns the peers to ask, by turns.
 func (r *Relay) choose() []string {
 	members := r.view()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.timers.Now()
+	if now.Before(r.searchAfter) {
+		return nil
+	}
 	var chosen []string
 	for range members {
 		m := members[r.next%len(members)]
