--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -40,6 +40,7 @@
 type Ledger struct {
 	store     rows.Store
 	timers    *timer.Service
+	recent    recent
 	readLimit time.Duration
 	keepLimit time.Duration
 }
@@ -55,7 +56,7 @@
 
 // New returns a ledger on a store.
 func New(store rows.Store, timers *timer.Service, options ...Option) *Ledger {
-	l := &Ledger{store: store, timers: timers, readLimit: defaultReadLimit, keepLimit: defaultKeepLimit}
+	l := &Ledger{store: store, timers: timers, recent: newRecent(timers), readLimit: defaultReadLimit, keepLimit: defaultKeepLimit}
 	for _, option := range options {
 		option(l)
 	}
@@ -68,6 +69,9 @@
 	if t.Previous == "" {
 		return nil, nil
 	}
+	if history, ok := l.recent.history(t.Previous); ok {
+		return history, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, l.readLimit)
 	defer cancel()
 	pauses := backoff.New(l.timers)
@@ -103,6 +107,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.recent.add(previous, turn.Previous, text)
 		texts = append(texts, text)
 		previous = turn.Previous
 	}
@@ -157,7 +162,8 @@
 	ctx, cancel := context.WithTimeout(ctx, l.keepLimit)
 	defer cancel()
 	write := uuid.NewString()
-	transaction, err := keeping(t, slices.Concat(input, output), write)
+	text := slices.Concat(input, output)
+	transaction, err := keeping(t, text, write)
 	if err != nil {
 		return err
 	}
@@ -165,7 +171,10 @@
 	for {
 		outcome, err := l.store.Commit(ctx, transaction)
 		if err == nil {
-			return kept(outcome, turnID(t.Program, t.Turn), write)
+			if err = kept(outcome, turnID(t.Program, t.Turn), write); err == nil {
+				l.recent.add(t.Turn, t.Previous, text)
+			}
+			return err
 		}
 		if !pauses.Wait(ctx) {
 			return errors.Annotatef(err, "turn %s was not stored", t.Turn)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -110,3 +110,41 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(history)).To(Equal("first"))
 }
+
+// Guards against a turn that waits for the store although this VM stored the one
+// before, against one that goes on from rows that may be gone, and against
+// remembered turns without a bound.
+func TestRecentTurns(t *testing.T) {
+	g := NewWithT(t)
+	clock := timer.NewManual(time.Unix(0, 0))
+	keeper := rowkeeper.New()
+	l := ledger.New(keeper, timer.New(timer.WithManual(clock)), ledger.WithLimits(time.Hour, time.Hour))
+	keep := func(turn, previous, text string) {
+		g.Expect(l.Keep(context.Background(), ledger.Turn{Program: "a", Turn: ident.RequestID(turn), Previous: ident.RequestID(previous)}, []byte(text), nil)).To(Succeed())
+	}
+	calls := 0
+	keeper.Inject(func(bool) rowkeeper.Fault { calls++; return nil })
+	read := func(previous string) (string, int) {
+		calls = 0
+		history, err := l.History(context.Background(), ledger.Turn{Program: "a", Turn: "next", Previous: ident.RequestID(previous)})
+		g.Expect(err).NotTo(HaveOccurred())
+		return string(history), calls
+	}
+	keep("1", "", "one ")
+	keep("2", "1", "two")
+	history, n := read("2")
+	g.Expect(history).To(Equal("one two"))
+	g.Expect(n).To(BeZero())
+	clock.Advance(6 * time.Minute)
+	history, n = read("2")
+	g.Expect(history).To(Equal("one two"))
+	g.Expect(n).To(Equal(1))
+	for i := range 2000 {
+		keep(fmt.Sprint("other-", i), "", "x")
+	}
+	_, n = read("2")
+	g.Expect(n).To(Equal(1))
+	keep("long", "2", strings.Repeat("x", 20_000))
+	_, n = read("long")
+	g.Expect(n).To(Equal(1))
+}
