ledger: the index row of a turn goes to another part when its part is out of service

Each try now uses another of three parts; a look-up that finds nothing reads all three, and says not found only if all were read.

Ruled out: the VMs' way to the store (requests at the same VM and moment were answered), too few tries (six to seven in 1.7 s).

The new test fails with one part.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -125,15 +125,11 @@
 
 // findProgram returns the account of the program that a turn belongs to.
 func (l *Ledger) findProgram(ctx context.Context, t ident.RequestID) (*account, error) {
-	index, err := l.store.Read(ctx, rows.Range{Table: indexTable, Part: rows.Part(t)})
+	program, err := l.lookUp(ctx, t)
 	if err != nil {
 		return nil, err
 	}
-	row, ok := rows.Find(index.Rows, indexID(t))
-	if !ok {
-		return nil, failure.Refusal(failure.NotFound, 0, "there is no turn %s, or its retention is over; start a new line of turns", t)
-	}
-	a, err := l.read(ctx, ident.ProgramID(row.Value))
+	a, err := l.read(ctx, program)
 	if err != nil {
 		return nil, err
 	}
@@ -143,17 +139,47 @@
 	return a, nil
 }
 
+// lookUp returns the program of a turn. There is none only if all parts were
+// read in which the row may be.
+func (l *Ledger) lookUp(ctx context.Context, t ident.RequestID) (ident.ProgramID, error) {
+	var unread error
+	for part := range indexParts {
+		id := indexID(t, part)
+		page, err := l.store.Read(ctx, rows.Range{Table: id.Table, Part: id.Part})
+		if err != nil {
+			unread = err
+			continue
+		}
+		if row, ok := rows.Find(page.Rows, id); ok {
+			return ident.ProgramID(row.Value), nil
+		}
+	}
+	if unread != nil {
+		return "", unread
+	}
+	return "", failure.Refusal(failure.NotFound, 0, "there is no turn %s, or its retention is over; start a new line of turns", t)
+}
+
 // Stored returns the rows of a program's turns.
 func Stored(ctx context.Context, store rows.Store, p ident.ProgramID) ([]rows.ID, error) {
 	page, err := store.Read(ctx, rows.Range{Table: turnsTable, Part: rows.Part(p)})
+	if err != nil {
+		return nil, err
+	}
 	var ids []rows.ID
 	for _, row := range page.Rows {
 		ids = append(ids, row.ID)
-		if turn, ok := strings.CutPrefix(string(row.Key), turnPrefix); ok {
-			ids = append(ids, indexID(ident.RequestID(turn)))
+		turn, ok := strings.CutPrefix(string(row.Key), turnPrefix)
+		if !ok {
+			continue
+		}
+		var stored turnRow
+		if err := decode(row, &stored); err != nil {
+			return nil, err
 		}
+		ids = append(ids, indexID(ident.RequestID(turn), stored.Index))
 	}
-	return ids, err
+	return ids, nil
 }
 
 // Keep stores a turn that was answered whole. Once it returns nil, every VM can
@@ -163,12 +189,12 @@
 	defer cancel()
 	write := uuid.NewString()
 	text := slices.Concat(input, output)
-	transaction, err := keeping(t, text, write)
-	if err != nil {
-		return err
-	}
 	pauses := backoff.New(l.timers)
-	for {
+	for try := 0; ; try++ {
+		transaction, err := keeping(t, text, write, try%indexParts)
+		if err != nil {
+			return err
+		}
 		outcome, err := l.store.Commit(ctx, transaction)
 		if err == nil {
 			if err = kept(outcome, turnID(t.Program, t.Turn), write); err == nil {
@@ -203,9 +229,10 @@
 	return nil
 }
 
-// keeping is the transaction that stores a turn and its place in the index.
-func keeping(t Turn, text []byte, write string) (rows.Transaction, error) {
-	row := turnRow{Previous: t.Previous, Write: write}
+// keeping is the transaction that stores a turn and its place in a part of the
+// index.
+func keeping(t Turn, text []byte, write string, index int) (rows.Transaction, error) {
+	row := turnRow{Previous: t.Previous, Index: index, Write: write}
 	var puts []rows.Put
 	for chunk := range slices.Chunk(text, textChunk) {
 		puts = append(puts, rows.Put{ID: textID(t.Program, t.Turn, row.Chunks), Value: chunk})
@@ -216,6 +243,6 @@
 		return rows.Transaction{}, errors.Annotatef(err, "encode turn %s", t.Turn)
 	}
 	own := turnID(t.Program, t.Turn)
-	puts = append(puts, rows.Put{ID: own, Value: encoded}, rows.Put{ID: indexID(t.Turn), Value: []byte(t.Program)})
+	puts = append(puts, rows.Put{ID: own, Value: encoded}, rows.Put{ID: indexID(t.Turn, index), Value: []byte(t.Program)})
 	return rows.Transaction{Conditions: []rows.Condition{{ID: own}}, Puts: puts}, nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -148,3 +148,48 @@
 	_, n = read("long")
 	g.Expect(n).To(Equal(1))
 }
+
+// partial is a store some of whose parts are out of service.
+type partial struct {
+	rows.Store
+	down map[rows.Part]bool
+}
+
+func (p *partial) Commit(ctx context.Context, t rows.Transaction) (rows.Outcome, error) {
+	for _, put := range t.Puts {
+		if p.down[put.Part] {
+			return nil, rows.ErrUnavailable
+		}
+	}
+	return p.Store.Commit(ctx, t)
+}
+
+func (p *partial) Read(ctx context.Context, r rows.Range) (rows.Page, error) {
+	if p.down[r.Part] {
+		return rows.Page{}, rows.ErrUnavailable
+	}
+	return p.Store.Read(ctx, r)
+}
+
+// Guards against turns that can't be stored because a part of the store that has
+// nothing of their program is out of service, and against a promise of not found
+// while a part was not read.
+func TestPartsOutOfService(t *testing.T) {
+	g := NewWithT(t)
+	store := &partial{Store: rowkeeper.New(), down: map[rows.Part]bool{"1": true}}
+	vm := func() *ledger.Ledger {
+		return ledger.New(store, timer.New(), ledger.WithLimits(300*time.Millisecond, 300*time.Millisecond))
+	}
+	g.Expect(vm().Keep(context.Background(), ledger.Turn{Program: "a", Turn: "1"}, []byte("first"), nil)).To(Succeed())
+	next := ledger.Turn{Program: "b", Turn: "2", Previous: "1"}
+	history, err := vm().History(context.Background(), next)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(history)).To(Equal("first"))
+	store.down["1/1"] = true
+	_, err = vm().History(context.Background(), next)
+	g.Expect(failure.Is(err, failure.PlatformUnavailable)).To(BeTrue())
+	store.down = nil
+	stored, err := ledger.Stored(context.Background(), store, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(stored).To(ContainElement(rows.ID{Table: "turn_programs", Part: "1/1", Key: "program"}))
+}
--- a/internal/ledger/rows.go
+++ b/internal/ledger/rows.go
@@ -17,6 +17,10 @@
 	// continues.
 	indexTable rows.Table = "turn_programs"
 	indexKey   rows.Key   = "program"
+	// indexParts is the number of parts of the store in which the row of a turn
+	// may be. An outage of some parts would otherwise hit the turns of programs
+	// whose own part is served.
+	indexParts = 3
 )
 
 const (
@@ -32,6 +36,8 @@
 	Previous ident.RequestID `json:"previous,omitempty"`
 	// Chunks is the number of rows with the turn's text.
 	Chunks int `json:"chunks"`
+	// Index is the number of the part that has the turn's row of the index.
+	Index int `json:"index,omitempty"`
 	// Write is the id of the write, by which the writer recognizes its row if
 	// the answer was lost.
 	Write string `json:"write"`
@@ -45,8 +51,13 @@
 	return rows.ID{Table: turnsTable, Part: rows.Part(p), Key: rows.Key(fmt.Sprintf("text/%s/%04d", t, chunk))}
 }
 
-func indexID(t ident.RequestID) rows.ID {
-	return rows.ID{Table: indexTable, Part: rows.Part(t), Key: indexKey}
+// indexID is the row of a turn in one of the parts in which it may be.
+func indexID(t ident.RequestID, part int) rows.ID {
+	id := rows.ID{Table: indexTable, Part: rows.Part(t), Key: indexKey}
+	if part > 0 {
+		id.Part = rows.Part(fmt.Sprintf("%s/%d", t, part))
+	}
+	return id
 }
 
 func decode(row rows.Row, into any) error {
