peerlink: a caller without time left closes no connection; errors keep their kind

Cause: a call of the store through a peer that ended because its own caller had no time left closed the connection to that peer, with all calls on it, and kept the peer from being asked for 0.5 s. Also, errors of the way to a peer were wrapped so that errors.Is did not find whether a call may have run; the new tests found that.

Each kind of call has its limit in peerlink. A connection is closed only if the peer did not answer within it.

Ruled out: peers that restart (the refusals name VMs that run on).

The tests fail without the change.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -26,20 +25,14 @@
 
 // Peers asks other VMs.
 type Peers interface {
-	// Take asks a VM for a grant. The error is of type *failure.Error if the VM
+	// Take asks a VM for a grant, for a quarter of a second at most. The error is of type *failure.Error if the VM
 	// refused the turn, and of another type if it did not answer in time.
 	Take(ctx context.Context, address string, r escrow.Request) (escrow.Grant, error)
 	Return(address string, g escrow.Grant, used unit.Tokens)
 }
 
-const (
-	// peerLimit bounds the wait for another VM of the failure domain, which is
-	// 0.1 ms away and answers after escrow.PeerWait at most.
-	peerLimit = escrow.PeerWait + 100*time.Millisecond
-	// askLimit bounds the time in which a VM that waits for the store is asked
-	// again.
-	askLimit = escrow.DefaultLimit
-)
+// askLimit bounds the time in which a VM that waits for the store is asked again.
+const askLimit = escrow.DefaultLimit
 
 // Own grants turns from parts that this VM holds. Errors are refusals.
 type Own interface {
@@ -92,9 +85,7 @@
 	defer cancel()
 	pauses := backoff.New(g.timers)
 	for {
-		asking, cancel := context.WithTimeout(ctx, peerLimit)
-		grant, err := g.peers.Take(asking, address, r)
-		cancel()
+		grant, err := g.peers.Take(ctx, address, r)
 		if !failure.Is(err, failure.PlatformUnavailable) || !pauses.Wait(ctx) {
 			return grant, err
 		}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -30,6 +30,9 @@
 	dialLimit = 100 * time.Millisecond
 	// failurePause is how long a peer is not asked that did not answer.
 	failurePause = 500 * time.Millisecond
+	// takeLimit bounds the wait for a grant: the time for which the peer waits for
+	// the store, and ten ways within a failure domain of a slow VM.
+	takeLimit = escrow.PeerWait + 100*time.Millisecond
 	// codeRefused marks an error whose data is a refusal.
 	codeRefused = 1
 )
@@ -133,12 +136,7 @@
 // Take asks the peer at an address for a grant.
 func (p *Peerlink) Take(ctx context.Context, address string, r escrow.Request) (escrow.Grant, error) {
 	var grant escrow.Grant
-	l := p.link(address)
-	conn, err := p.connect(ctx, l, address)
-	if err != nil {
-		return grant, err
-	}
-	err = conn.Call(ctx, methodTake, r, &grant)
+	err := p.call(ctx, address, takeLimit, methodTake, r, &grant)
 	var answered *jsonrpc2.Error
 	switch {
 	case err == nil:
@@ -150,10 +148,32 @@
 		}
 		return grant, known
 	}
-	p.drop(l, conn)
 	return grant, errors.Annotatef(err, "peer at %s", address)
 }
 
+// call asks a peer. A connection is closed if the peer does not answer within the
+// limit. One whose caller has no time left stays: others use it as well.
+func (p *Peerlink) call(ctx context.Context, address string, limit time.Duration, method string, question, answer any) error {
+	l := p.link(address)
+	conn, err := p.connect(ctx, l, address)
+	if err != nil {
+		return errUnreached{err}
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err = conn.Call(limited, method, question, answer)
+	var answered *jsonrpc2.Error
+	if err != nil && !errors.As(err, &answered) && ctx.Err() == nil {
+		p.drop(l, conn)
+	}
+	return err
+}
+
+// errUnreached is an error of a peer to which nothing was sent.
+type errUnreached struct{ error }
+
+func (e errUnreached) Unwrap() error { return e.error }
+
 // Return ends a grant of the peer at an address. A grant whose return is lost
 // counts at its largest size.
 func (p *Peerlink) Return(address string, g escrow.Grant, used unit.Tokens) {
--- /dev/null
+++ b/internal/peerlink/peerlink_test.go
@@ -0,0 +1,101 @@
+package peerlink_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/effect"
+	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
+	"github.com/sassafrasspur/sassafrasspur/internal/peerlink"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowkeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+)
+
+// silent is a store whose reads get no answer.
+type silent struct{ rows.Store }
+
+func (silent) Read(ctx context.Context, _ rows.Range) (rows.Page, error) {
+	<-ctx.Done()
+	return rows.Page{}, rows.ErrUnknown
+}
+
+// pair returns the address of a VM that serves peers, and another VM.
+func pair(t *testing.T, view snapshot.Entry) (string, *peerlink.Peerlink) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	timers := timer.New()
+	ignore := func(error) {}
+	keeper := rowkeeper.New()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	serving := peerlink.New(silent{keeper}, timers, ignore)
+	go serving.Serve(ctx, listener, escrow.New(ctx, keeper, timers), func() snapshot.Entry { return view })
+	return listener.Addr().String(), peerlink.New(keeper, timers, ignore)
+}
+
+// Guards against a caller without time left that closes the connection, with the
+// calls of all others on it. In an outage of the store that lost grants of turns.
+func TestCallerWithoutTime(t *testing.T) {
+	g := NewWithT(t)
+	address, link := pair(t, snapshot.Entry{})
+	request := escrow.Request{Program: "p", Budget: 100, Largest: 10}
+	grant, err := link.Take(context.Background(), address, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = link.Read(short, address, rows.Range{Table: "t"})
+	g.Expect(errors.Is(err, rows.ErrUnknown)).To(BeTrue(), "%v", err)
+	_, err = link.Take(context.Background(), address, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	link.Return(address, grant, 1)
+}
+
+// Guards against waits for a VM that is gone, and against a promise that nothing
+// was done for a call that was sent.
+func TestPeerThatIsGone(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	g.Expect(listener.Close()).To(Succeed())
+	link := peerlink.New(rowkeeper.New(), timer.New(), func(error) {})
+	began := time.Now()
+	for range 20 {
+		_, err = link.Read(context.Background(), address, rows.Range{Table: "t"})
+		g.Expect(errors.Is(err, rows.ErrUnavailable)).To(BeTrue(), "%v", err)
+	}
+	g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	serving, other := pair(t, snapshot.Entry{})
+	_, err = other.Read(context.Background(), serving, rows.Range{Table: "t"})
+	g.Expect(errors.Is(err, rows.ErrUnknown)).To(BeTrue(), "%v", err)
+}
+
+// Guards against a copied list that misses what changed, and against one without
+// its age, by which a VM notices that the other one no longer reads.
+func TestUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	first := upstream.NewList("serving").Next(map[ident.UpstreamID]upstream.Upstream{"u": {ID: "u", Leaving: true}})
+	address, link := pair(t, snapshot.Entry{UpstreamList: first, UpstreamsAsOf: time.Now().Add(-time.Second)})
+	change, err := link.Upstreams(context.Background(), effect.AskUpstreams{Address: address})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(change.Whole).To(BeTrue())
+	g.Expect(change.Listed).To(Equal([]upstream.Upstream{{ID: "u", Leaving: true}}))
+	g.Expect(change.Age).To(BeNumerically("~", time.Second, 500*time.Millisecond))
+	again, err := link.Upstreams(context.Background(), effect.AskUpstreams{Address: address, Epoch: change.Epoch, Version: change.Version})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Listed).To(BeEmpty())
+	empty, other := pair(t, snapshot.Entry{})
+	_, err = other.Upstreams(context.Background(), effect.AskUpstreams{Address: empty})
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/peerlink/store.go
+++ b/internal/peerlink/store.go
@@ -118,21 +118,16 @@
 
 // ask calls the store through a peer.
 func (p *Peerlink) ask(ctx context.Context, address, method string, question, answer any, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	l := p.link(address)
-	conn, err := p.connect(ctx, l, address)
-	if err != nil {
-		return errors.Wrap(err, errors.Annotate(rows.ErrUnavailable, err.Error()))
-	}
-	err = conn.Call(ctx, method, question, answer)
+	err := p.call(ctx, address, limit, method, question, answer)
+	var unreached errUnreached
 	var answered *jsonrpc2.Error
-	if !errors.As(err, &answered) {
-		if err == nil {
-			return nil
-		}
-		p.drop(l, conn)
-		return errors.Wrap(err, errors.Annotate(rows.ErrUnknown, err.Error()))
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &unreached):
+		return errors.Annotate(rows.ErrUnavailable, err.Error())
+	case !errors.As(err, &answered):
+		return errors.Annotate(rows.ErrUnknown, err.Error())
 	}
 	switch answered.Code {
 	case codeCompacted:
--- a/internal/peerlink/upstreams.go
+++ b/internal/peerlink/upstreams.go
@@ -47,18 +47,7 @@
 
 // Upstreams asks a peer how its list of upstreams changed since a version.
 func (p *Peerlink) Upstreams(ctx context.Context, e effect.AskUpstreams) (upstream.Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyLimit)
-	defer cancel()
 	var change upstream.Change
-	l := p.link(e.Address)
-	conn, err := p.connect(ctx, l, e.Address)
-	if err != nil {
-		return change, err
-	}
-	err = conn.Call(ctx, methodUpstreams, known{Epoch: e.Epoch, Version: e.Version}, &change)
-	var answered *jsonrpc2.Error
-	if err != nil && !errors.As(err, &answered) {
-		p.drop(l, conn)
-	}
+	err := p.call(ctx, e.Address, copyLimit, methodUpstreams, known{Epoch: e.Epoch, Version: e.Version}, &change)
 	return change, errors.Annotatef(err, "upstreams of the peer at %s", e.Address)
 }
