--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -110,3 +110,86 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(history)).To(Equal("first"))
 }
+
+// Guards against a turn that waits for the store although this VM stored the one
+// before, against one that goes on from rows that may be gone, and against
+// remembered turns without a bound.
+func TestRecentTurns(t *testing.T) {
+	g := NewWithT(t)
+	clock := timer.NewManual(time.Unix(0, 0))
+	keeper := rowkeeper.New()
+	l := ledger.New(keeper, timer.New(timer.WithManual(clock)), ledger.WithLimits(time.Hour, time.Hour))
+	keep := func(turn, previous, text string) {
+		g.Expect(l.Keep(context.Background(), ledger.Turn{Program: "a", Turn: ident.RequestID(turn), Previous: ident.RequestID(previous)}, []byte(text), nil)).To(Succeed())
+	}
+	calls := 0
+	keeper.Inject(func(bool) rowkeeper.Fault { calls++; return nil })
+	read := func(previous string) (string, int) {
+		calls = 0
+		history, err := l.History(context.Background(), ledger.Turn{Program: "a", Turn: "next", Previous: ident.RequestID(previous)})
+		g.Expect(err).NotTo(HaveOccurred())
+		return string(history), calls
+	}
+	keep("1", "", "one ")
+	keep("2", "1", "two")
+	history, n := read("2")
+	g.Expect(history).To(Equal("one two"))
+	g.Expect(n).To(BeZero())
+	clock.Advance(6 * time.Minute)
+	history, n = read("2")
+	g.Expect(history).To(Equal("one two"))
+	g.Expect(n).To(Equal(1))
+	for i := range 2000 {
+		keep(fmt.Sprint("other-", i), "", "x")
+	}
+	_, n = read("2")
+	g.Expect(n).To(Equal(1))
+	keep("long", "2", strings.Repeat("x", 20_000))
+	_, n = read("long")
+	g.Expect(n).To(Equal(1))
+}
+
+// partial is a store some of whose parts are out of service.
+type partial struct {
+	rows.Store
+	down map[rows.Part]bool
+}
+
+func (p *partial) Commit(ctx context.Context, t rows.Transaction) (rows.Outcome, error) {
+	for _, put := range t.Puts {
+		if p.down[put.Part] {
+			return nil, rows.ErrUnavailable
+		}
+	}
+	return p.Store.Commit(ctx, t)
+}
+
+func (p *partial) Read(ctx context.Context, r rows.Range) (rows.Page, error) {
+	if p.down[r.Part] {
+		return rows.Page{}, rows.ErrUnavailable
+	}
+	return p.Store.Read(ctx, r)
+}
+
+// Guards against turns that can't be stored because a part of the store that has
+// nothing of their program is out of service, and against a promise of not found
+// while a part was not read.
+func TestPartsOutOfService(t *testing.T) {
+	g := NewWithT(t)
+	store := &partial{Store: rowkeeper.New(), down: map[rows.Part]bool{"1": true}}
+	vm := func() *ledger.Ledger {
+		return ledger.New(store, timer.New(), ledger.WithLimits(300*time.Millisecond, 300*time.Millisecond))
+	}
+	g.Expect(vm().Keep(context.Background(), ledger.Turn{Program: "a", Turn: "1"}, []byte("first"), nil)).To(Succeed())
+	next := ledger.Turn{Program: "b", Turn: "2", Previous: "1"}
+	history, err := vm().History(context.Background(), next)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(history)).To(Equal("first"))
+	store.down["1/1"] = true
+	_, err = vm().History(context.Background(), next)
+	g.Expect(failure.Is(err, failure.PlatformUnavailable)).To(BeTrue())
+	store.down = nil
+	stored, err := ledger.Stored(context.Background(), store, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(stored).To(ContainElement(rows.ID{Table: "turn_programs", Part: "1/1", Key: "program"}))
+}
