upstream: copied lists are named by a digest of their contents

Cause: versions of a list were counted by the VM that reads it, so that all others of a failure domain fetched the whole list when another VM took over or restarted.

A VM that knows the same upstreams, or had them lately, recognizes the digest and sends what differs. A copy that does not lead to the digest is replaced by a read.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -58,7 +58,6 @@
 	// readers are the VMs of the own failure domain that may read for others.
 	readers   []snapshot.Member
 	askAfter  time.Time
-	copied    upstream.Change
 	published *upstream.List
 	// all is what is published in the order of the ids, sent at sentAt.
 	all    []upstream.Upstream
@@ -79,7 +78,7 @@
 // entry that names no upstream is given to reject once.
 func New(self snapshot.Member, table rows.Table, decode func(rows.Row) (upstream.Upstream, error), reject func(error)) *Discoverer {
 	return &Discoverer{
-		self: self, table: table, decode: decode, reject: reject, published: upstream.NewList(self.Process),
+		self: self, table: table, decode: decode, reject: reject, published: upstream.NewList(),
 		known: map[ident.UpstreamID]upstream.Upstream{}, rejected: map[rows.Key]bool{},
 	}
 }
@@ -122,7 +121,7 @@
 	if !ok || reader.VM == d.self.VM || len(d.known) < longList || now.Before(d.askAfter) {
 		return d.read()
 	}
-	return []effect.Effect{effect.AskUpstreams{Address: reader.PeerAddress, Epoch: d.copied.Epoch, Version: d.copied.Version}}
+	return []effect.Effect{effect.AskUpstreams{Address: reader.PeerAddress, Known: d.published.Digest()}}
 }
 
 // chosen is the VM that reads for the failure domain.
@@ -137,10 +136,11 @@
 	return members[vm], ok
 }
 
-// copy takes over how the list of another VM changed.
+// copy takes over how the list of another VM differs. If that does not lead to
+// the other VM's list, the list is read.
 func (d *Discoverer) copy(now time.Time, m message.UpstreamsCopied) []effect.Effect {
 	if m.Err != nil || m.Change.Age > copyAge {
-		d.askAfter, d.copied = now.Add(avoidPeer), upstream.Change{}
+		d.askAfter = now.Add(avoidPeer)
 		return d.read()
 	}
 	asOf := m.SentAt.Add(-m.Change.Age)
@@ -148,11 +148,15 @@
 		// A VM that reads again may know less than this one.
 		return []effect.Effect{d.pacer.Set(now.Add(askInterval))}
 	}
-	changed := m.Change.Whole || m.Change.Version != d.copied.Version
+	changed := m.Change.Digest != d.published.Digest()
 	if changed {
-		d.known = m.Change.Apply(d.known)
+		known := m.Change.Apply(d.known)
+		if d.published.Next(known).Digest() != m.Change.Digest {
+			d.askAfter = now.Add(avoidPeer)
+			return d.read()
+		}
+		d.known = known
 	}
-	d.copied = upstream.Change{Epoch: m.Change.Epoch, Version: m.Change.Version}
 	d.asOf = asOf
 	effects := []effect.Effect{d.pacer.Set(now.Add(askInterval))}
 	if !changed && now.Sub(d.sentAt) < readInterval {
@@ -180,7 +184,6 @@
 	if m.Err != nil {
 		return []effect.Effect{d.pacer.Set(next)}
 	}
-	d.copied = upstream.Change{}
 	before := d.known
 	d.known = d.decodeAll(m.Page.Rows)
 	if !d.asOf.IsZero() && m.SentAt.Sub(d.asOf) > outageAge {
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -35,6 +35,7 @@
 // last one, and what the store answers.
 func decider() func(line string) string {
 	var rejected []string
+	other := map[ident.UpstreamID]upstream.Upstream{}
 	d := discoverer.New(snapshot.Member{VM: "self", Process: "self", Domain: "d"}, table, decode, func(err error) { rejected = append(rejected, err.Error()) })
 	now := time.Unix(0, 0)
 	d.Handle(now, message.Started{})
@@ -49,7 +50,7 @@
 		case f.Has("members"):
 			effects = d.Handle(now, listed(f["members"]))
 		case f.Has("copied"):
-			effects = d.Handle(now, copied(now, f))
+			effects = d.Handle(now, copied(now, f, other))
 		default:
 			m := message.RowsRead{Range: rows.Range{Table: table}, SentAt: now}
 			if f.Has("fails") {
@@ -61,8 +62,11 @@
 					m.Page.Rows = append(m.Page.Rows, rows.Row{ID: rows.ID{Table: table, Key: rows.Key(id)}, Value: []byte(state)})
 				}
 			}
+			other = map[ident.UpstreamID]upstream.Upstream{}
 			for i := range f.Int("many") {
-				m.Page.Rows = append(m.Page.Rows, rows.Row{ID: rows.ID{Table: table, Key: rows.Key(fmt.Sprint("u", i))}, Value: []byte("ready")})
+				id := fmt.Sprint("u", i)
+				other[ident.UpstreamID(id)] = upstream.Upstream{ID: ident.UpstreamID(id)}
+				m.Page.Rows = append(m.Page.Rows, rows.Row{ID: rows.ID{Table: table, Key: rows.Key(id)}, Value: []byte("ready")})
 			}
 			effects = d.Handle(now, m)
 		}
@@ -80,22 +84,24 @@
 	return m
 }
 
-// copied is the answer of another VM.
-func copied(now time.Time, f goldentest.Fields) message.UpstreamsCopied {
-	m := message.UpstreamsCopied{SentAt: now, Change: upstream.Change{Epoch: "other", Age: f.Duration("age")}}
-	if f["copied"] == "fails" {
-		m.Err = errors.New("no answer")
-		return m
-	}
-	_, err := fmt.Sscan(f["copied"], &m.Change.Version)
-	if err != nil {
-		panic(err)
+// copied is the answer of a VM that has the upstreams of other, after a change of
+// them.
+func copied(now time.Time, f goldentest.Fields, other map[ident.UpstreamID]upstream.Upstream) message.UpstreamsCopied {
+	m := message.UpstreamsCopied{SentAt: now, Change: upstream.Change{Age: f.Duration("age")}}
+	if id := ident.UpstreamID(f["gone"]); id != "" {
+		delete(other, id)
+		m.Change.Gone = []ident.UpstreamID{id}
 	}
-	if f.Has("gone") {
-		m.Change.Gone = []ident.UpstreamID{ident.UpstreamID(f["gone"])}
+	if id := ident.UpstreamID(f["leaving"]); id != "" {
+		other[id] = upstream.Upstream{ID: id, Leaving: true}
+		m.Change.Listed = []upstream.Upstream{other[id]}
 	}
-	if f.Has("leaving") {
-		m.Change.Listed = []upstream.Upstream{{ID: ident.UpstreamID(f["leaving"]), Leaving: true}}
+	m.Change.Digest = upstream.NewList().Next(other).Digest()
+	switch f["copied"] {
+	case "fails":
+		m.Err = errors.New("no answer")
+	case "incomplete":
+		m.Change.Listed, m.Change.Gone = nil, nil
 	}
 	return m
 }
@@ -107,7 +113,7 @@
 		case effect.ReadRows:
 			out.WriteString("read ")
 		case effect.AskUpstreams:
-			fmt.Fprintf(&out, "ask %s after %s/%d ", e.Address, e.Epoch, e.Version)
+			fmt.Fprintf(&out, "ask %s ", e.Address)
 		case effect.WakeAt:
 			fmt.Fprintf(&out, "wake=%s ", e.Time.Sub(now))
 		case effect.Send:
--- a/internal/effect/entry.go
+++ b/internal/effect/entry.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
 // ReadRows reads a range of the platform's store. Reported by
@@ -22,13 +22,12 @@
 // WriteRows applies a transaction. Reported by message.RowsWritten.
 type WriteRows struct{ Transaction rows.Transaction }
 
-// AskUpstreams asks an entry VM how its list of upstreams changed since a
-// version. Reported by message.UpstreamsCopied.
+// AskUpstreams asks an entry VM how its list of upstreams differs from a known
+// one. Reported by message.UpstreamsCopied.
 type AskUpstreams struct {
 	// Address is that for peers.
 	Address string
-	Epoch   ident.ProcessID
-	Version uint64
+	Known   upstream.Digest
 }
 
 func (AskUpstreams) sealed() {}
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -85,14 +85,14 @@
 // its age, by which a VM notices that the other one no longer reads.
 func TestUpstreams(t *testing.T) {
 	g := NewWithT(t)
-	first := upstream.NewList("serving").Next(map[ident.UpstreamID]upstream.Upstream{"u": {ID: "u", Leaving: true}})
+	first := upstream.NewList().Next(map[ident.UpstreamID]upstream.Upstream{"u": {ID: "u", Leaving: true}})
 	address, link := pair(t, snapshot.Entry{UpstreamList: first, UpstreamsAsOf: time.Now().Add(-time.Second)})
-	change, err := link.Upstreams(context.Background(), effect.AskUpstreams{Address: address})
+	change, err := link.Upstreams(context.Background(), effect.AskUpstreams{Address: address, Known: 1})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(change.Whole).To(BeTrue())
 	g.Expect(change.Listed).To(Equal([]upstream.Upstream{{ID: "u", Leaving: true}}))
 	g.Expect(change.Age).To(BeNumerically("~", time.Second, 500*time.Millisecond))
-	again, err := link.Upstreams(context.Background(), effect.AskUpstreams{Address: address, Epoch: change.Epoch, Version: change.Version})
+	again, err := link.Upstreams(context.Background(), effect.AskUpstreams{Address: address, Known: change.Digest})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(again.Listed).To(BeEmpty())
 	empty, other := pair(t, snapshot.Entry{})
--- a/internal/peerlink/upstreams.go
+++ b/internal/peerlink/upstreams.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
@@ -22,13 +21,12 @@
 	copyLimit = 400 * time.Millisecond
 )
 
-// known names the version of a list that a peer has.
+// known names the list that a peer has.
 type known struct {
-	Epoch   ident.ProcessID `json:"epoch"`
-	Version uint64          `json:"version"`
+	Digest upstream.Digest `json:"digest"`
 }
 
-// handleUpstreams answers how the list of a view changed.
+// handleUpstreams answers how the list of a view differs from that of the peer.
 func (p *Peerlink) handleUpstreams(r *jsonrpc2.Request, view snapshot.Entry) (any, error) {
 	var of known
 	if r.Params == nil {
@@ -40,14 +38,14 @@
 	if view.UpstreamList == nil {
 		return nil, &jsonrpc2.Error{Code: codeNoList, Message: "the upstreams were not read yet"}
 	}
-	change := view.UpstreamList.After(of.Epoch, of.Version)
+	change := view.UpstreamList.After(of.Digest)
 	change.Age = p.timers.Now().Sub(view.UpstreamsAsOf)
 	return change, nil
 }
 
-// Upstreams asks a peer how its list of upstreams changed since a version.
+// Upstreams asks a peer how its list of upstreams differs from a known one.
 func (p *Peerlink) Upstreams(ctx context.Context, e effect.AskUpstreams) (upstream.Change, error) {
 	var change upstream.Change
-	err := p.call(ctx, e.Address, copyLimit, methodUpstreams, known{Epoch: e.Epoch, Version: e.Version}, &change)
+	err := p.call(ctx, e.Address, copyLimit, methodUpstreams, known{Digest: e.Known}, &change)
 	return change, errors.Annotatef(err, "upstreams of the peer at %s", e.Address)
 }
--- a/internal/upstream/list_test.go
+++ b/internal/upstream/list_test.go
@@ -12,14 +12,14 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
-// Guards against a copy of the list that keeps an upstream that is gone, misses
-// one that came or left, or mixes the versions of two processes.
+// Guards against a copy of the list that keeps an upstream that is gone, or misses
+// one that came or left, also if it is asked for at several VMs by turns.
 func TestListChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		lists := []*upstream.List{upstream.NewList("a"), upstream.NewList("b")}
+		lists := []*upstream.List{upstream.NewList(), upstream.NewList()}
 		now := map[ident.UpstreamID]upstream.Upstream{}
-		copied, known := map[ident.UpstreamID]upstream.Upstream{}, upstream.Change{}
+		copied, own := map[ident.UpstreamID]upstream.Upstream{}, upstream.NewList()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			for range rapid.IntRange(0, 3).Draw(t, "changes") {
 				id := ident.UpstreamID(fmt.Sprint("u", rapid.IntRange(0, 9).Draw(t, "upstream")))
@@ -32,9 +32,11 @@
 			from := rapid.IntRange(0, 1).Draw(t, "process")
 			lists[from] = lists[from].Next(maps.Clone(now))
 			if rapid.Bool().Draw(t, "ask") {
-				known = lists[from].After(known.Epoch, known.Version)
-				copied = known.Apply(copied)
+				change := lists[from].After(own.Digest())
+				copied = change.Apply(copied)
 				g.Expect(copied).To(Equal(now))
+				own = own.Next(copied)
+				g.Expect(own.Digest()).To(Equal(change.Digest))
 			}
 		}
 	})
@@ -48,15 +50,15 @@
 		id := ident.UpstreamID(fmt.Sprint("u", i))
 		many[id] = upstream.Upstream{ID: id}
 	}
-	first := upstream.NewList("a").Next(many)
-	start := first.After("", 0)
+	first := upstream.NewList().Next(many)
+	start := first.After(1)
 	g.Expect(start.Whole).To(BeTrue())
 	few := first
 	for i := range 1200 {
 		delete(many, ident.UpstreamID(fmt.Sprint("u", i)))
 		few = few.Next(maps.Clone(many))
 	}
-	change := few.After(start.Epoch, start.Version)
+	change := few.After(start.Digest)
 	g.Expect(change.Apply(start.Apply(nil))).To(BeEmpty())
 	g.Expect(change.Whole).To(BeTrue())
 }
