--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -31,7 +31,7 @@
 	// failurePause is how long a peer is not asked that did not answer.
 	failurePause = 500 * time.Millisecond
 	// takeLimit bounds the wait for a grant: the time for which the peer waits for
-	// the store, and ten ways within a failure domain of a slow VM.
+	// the store, and 100 ms for a VM that runs slowly.
 	takeLimit = escrow.PeerWait + 100*time.Millisecond
 	// codeRefused marks an error whose data is a refusal.
 	codeRefused = 1
