--- a/internal/entrytest/both_test.go
+++ b/internal/entrytest/both_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -35,7 +34,7 @@
 // listed or that holds up a stop because the process serves another one as well.
 func TestBothInterfaces(t *testing.T) {
 	g := NewWithT(t)
-	d := newDeployment(g, 1)
+	d := newDeployment(t, g, 1)
 	defer d.close(g)
 	s := d.vms[0].settings
 	s.VM = "vm-both"
@@ -49,7 +48,7 @@
 		BodyBytes: 1 << 20, CallTime: 10 * time.Second, FirstByte: time.Second, BetweenBytes: time.Second,
 		QueueWait: time.Second, Drain: 2 * time.Second,
 	}
-	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(io.Discard))
+	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(d.log))
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{settings: s, stop: stop, done: make(chan error, 1)}
--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -29,6 +29,7 @@
 
 // deployment is a store, two engines, two services and entry VMs.
 type deployment struct {
+	log *vmLog
 	// grace is the time that entry VMs have to stop.
 	grace    time.Duration
 	keeper   *rowkeeper.Rowkeeper
@@ -46,12 +47,17 @@
 	done     chan error
 }
 
-func newDeployment(g *WithT, vms int) *deployment {
-	return newDeploymentWithGrace(g, vms, 4*time.Second)
+func newDeployment(t *testing.T, g *WithT, vms int) *deployment {
+	return newDeploymentWithGrace(t, g, vms, 4*time.Second)
 }
 
-func newDeploymentWithGrace(g *WithT, vms int, grace time.Duration) *deployment {
-	d := &deployment{grace: grace, keeper: rowkeeper.New(), replicas: map[ident.UpstreamID]*replica.Replica{}, client: &http.Client{}}
+func newDeploymentWithGrace(t *testing.T, g *WithT, vms int, grace time.Duration) *deployment {
+	d := &deployment{log: &vmLog{}, grace: grace, keeper: rowkeeper.New(), replicas: map[ident.UpstreamID]*replica.Replica{}, client: &http.Client{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(d.log.last())
+		}
+	})
 	d.store = httptest.NewServer(rowserver.New(d.keeper).Handler())
 	d.write(g, "op", "config", configuration(1))
 	for i := range 2 {
@@ -142,7 +148,7 @@
 		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace},
 		Platform: settings.Platform{StoreAddress: netip.MustParseAddrPort(d.store.Listener.Addr().String())},
 	}
-	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(io.Discard))
+	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(d.log))
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{settings: s, stop: stop, done: make(chan error, 1)}
@@ -259,7 +265,7 @@
 // whole path with two entry VMs.
 func TestEntrySession(t *testing.T) {
 	g := NewWithT(t)
-	d := newDeployment(g, 2)
+	d := newDeployment(t, g, 2)
 	defer d.close(g)
 	g.Expect(goldentest.Check("testdata/*.txtar", d.decide())).To(Succeed())
 }
@@ -268,7 +274,7 @@
 // reverts.
 func TestEntryFollowsRoutes(t *testing.T) {
 	g := NewWithT(t)
-	d := newDeployment(g, 1)
+	d := newDeployment(t, g, 1)
 	defer d.close(g)
 	look := func() string {
 		return d.send(d.vms[0], http.MethodGet, "/look/x", map[string]string{"X-Attempt-Id": "look"}, "")[:3]
@@ -285,7 +291,7 @@
 // a request of 3 s that comes 1 s after the request to stop can't be finished.
 func TestEntryLeaves(t *testing.T) {
 	g := NewWithT(t)
-	d := newDeploymentWithGrace(g, 2, 8*time.Second)
+	d := newDeploymentWithGrace(t, g, 2, 8*time.Second)
 	defer d.close(g)
 	resolve := func() string { return d.resolve(g, d.vms[1]) }
 	d.vms[0].stop()
