--- a/cmd/sassafrasspurd/main.go
+++ b/cmd/sassafrasspurd/main.go
@@ -17,10 +17,11 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"github.com/sassafrasspur/sassafrasspur"
+	"github.com/sassafrasspur/sassafrasspur/internal/linewriter"
 	"github.com/sassafrasspur/sassafrasspur/internal/loader"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/platform"
 )
 
@@ -73,11 +74,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+	out := linewriter.New(os.Stdout, logLines, func(lines int64) {
 		log := zerolog.New(os.Stdout).With().Timestamp().Str("vm", string(s.VM)).Logger()
-		log.Warn().Int("lines", missed).Msg("log lines dropped")
+		log.Warn().Int64("lines", lines).Msg("log lines dropped")
 	})
-	defer flush(out)
+	defer func() { out.Close(timer.New().After(logLimit)) }()
 	node, err := sassafrasspur.New(sassafrasspur.WithSettings(*s), sassafrasspur.WithLog(out))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -103,18 +104,3 @@
 	fmt.Println("settings are valid")
 	return 0
 }
-
-// flush waits until the last log lines are written.
-func flush(out diode.Writer) {
-	written := make(chan struct{})
-	go func() {
-		// Close returns the error of the standard output's Close, after which
-		// nothing could be logged.
-		_ = out.Close()
-		close(written)
-	}()
-	select {
-	case <-written:
-	case <-time.After(logLimit):
-	}
-}
