discoverer, subscriber: reads and waits follow the limits of the deployment

Cause: on the grown sites each of 61 VMs read the whole list of upstreams each second and waited 1.7 s for routes, as the limits of the small sites ask (2.5 s); theirs are 4 s. The list is most of the bytes at the store. Change: drain_limit and routes_limit are settings, filled in from the deployment's bounds. One of six or more VMs in a failure domain reads a short list as well if the limit leaves 3.5 s; shorter limits than 2.5 s shorten the reads.

--- a/control.go
+++ b/control.go
@@ -37,13 +37,15 @@
 	s := n.settings
 	var all []executor.Controller
 	if n.ingress != nil {
-		all = append(all, subscriber.New(platform.RoutesTable, platform.DecodeRoutes, n.report("routes rejected")))
+		all = append(all, subscriber.New(platform.RoutesTable, platform.DecodeRoutes, n.report("routes rejected"),
+			subscriber.WithLimit(s.Ingress.RoutesLimit)))
 	}
 	if n.calls != nil {
 		all = append(all, configurer.New(n.report("configuration rejected"), configurer.WithFreshness(s.Freshness.Configuration, s.Freshness.Interval)))
 	}
 	all = append(all,
-		discoverer.New(n.self(), platform.UpstreamsTable, platform.DecodeUpstream, n.report("upstream rejected")),
+		discoverer.New(n.self(), platform.UpstreamsTable, platform.DecodeUpstream, n.report("upstream rejected"),
+			discoverer.WithLimit(s.Ingress.DrainLimit)),
 		enroller.New(n.self(), n.interval()),
 	)
 	if n.ingress != nil {
--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -24,29 +24,38 @@
 )
 
 const (
-	// readInterval spaces reads of the list. An upstream that leaves is to get
-	// no new work 2.5 s after it said so, also if one read gets no answer in
-	// 0.6 s.
-	readInterval = time.Second
+	// defaultLimit is the time after which an upstream that leaves gets no new
+	// work on the known deployments.
+	defaultLimit = 2500 * time.Millisecond
+	// longestInterval spaces reads of the list. The limit is kept also if one
+	// read gets no answer in 0.6 s.
+	longestInterval = time.Second
+	// readShare is the part of a shorter limit that may pass between two reads.
+	readShare = 0.4
 	// outageAge is the age of the newest list from which an outage of the store
 	// is assumed.
 	outageAge = 2500 * time.Millisecond
 	// returnGrace is how long entries that lapsed in an outage take to return:
 	// about 2 s, and one interval of reads.
 	returnGrace = 2200 * time.Millisecond
-	// longList is the number of upstreams from which one VM reads for others. A
-	// shorter list takes one answer of the store.
+	// longList is the number of upstreams from which one VM reads for others,
+	// whatever the limit is. A shorter list takes one answer of the store.
 	longList = 400
+	// manyReaders is the number of VMs in a failure domain from which one reads a
+	// shorter list for the others, if the limit is at least sharedLimit: a change
+	// is known after 3.4 s if the VM that reads stops at that moment.
+	manyReaders = 6
+	sharedLimit = 3500 * time.Millisecond
 	// askInterval spaces the questions to the VM that reads. With its own
-	// interval and an answer of the store, a change is known after 1.5 s.
-	askInterval = 400 * time.Millisecond
+	// interval and an answer of the store, a change is usually known after 1.7 s.
+	askInterval = 600 * time.Millisecond
 	// copyAge is the age of a copied list above which it is read instead: the
 	// interval of reads, and the second that six answers of the store with 500
 	// rows each take on a VM with a fifth of a core and 30 Mbit/s.
 	copyAge = 2 * time.Second
 	// avoidPeer is how long no VM is asked after one did not answer in time. The
 	// list is read once in it.
-	avoidPeer = readInterval
+	avoidPeer = longestInterval
 )
 
 // Discoverer keeps the upstreams.
@@ -54,7 +63,10 @@
 	decode func(rows.Row) (upstream.Upstream, error)
 	reject func(error)
 
-	self snapshot.Member
+	limit time.Duration
+	// interval spaces reads of the list.
+	interval time.Duration
+	self     snapshot.Member
 	// readers are the VMs of the own failure domain that may read for others.
 	readers   []snapshot.Member
 	askAfter  time.Time
@@ -74,13 +86,24 @@
 	rejected    map[rows.Key]bool
 }
 
+// Option changes how New builds a Discoverer.
+type Option func(*Discoverer)
+
+// WithLimit sets the time after which an upstream that leaves gets no new work.
+func WithLimit(limit time.Duration) Option { return func(d *Discoverer) { d.limit = limit } }
+
 // New returns the controller of a VM for the list in a table. The reason of each
 // entry that names no upstream is given to reject once.
-func New(self snapshot.Member, table rows.Table, decode func(rows.Row) (upstream.Upstream, error), reject func(error)) *Discoverer {
-	return &Discoverer{
-		self: self, table: table, decode: decode, reject: reject, published: upstream.NewList(),
+func New(self snapshot.Member, table rows.Table, decode func(rows.Row) (upstream.Upstream, error), reject func(error), options ...Option) *Discoverer {
+	d := &Discoverer{
+		self: self, table: table, decode: decode, reject: reject, published: upstream.NewList(), limit: defaultLimit,
 		known: map[ident.UpstreamID]upstream.Upstream{}, rejected: map[rows.Key]bool{},
 	}
+	for _, option := range options {
+		option(d)
+	}
+	d.interval = min(longestInterval, time.Duration(readShare*float64(d.limit)))
+	return d
 }
 
 // Handle follows the list.
@@ -118,12 +141,17 @@
 // ask asks the VM that reads for the failure domain, or reads.
 func (d *Discoverer) ask(now time.Time) []effect.Effect {
 	reader, ok := d.chosen()
-	if !ok || reader.VM == d.self.VM || len(d.known) < longList || now.Before(d.askAfter) {
+	if !ok || reader.VM == d.self.VM || !d.sharesReads() || now.Before(d.askAfter) {
 		return d.read()
 	}
 	return []effect.Effect{effect.AskUpstreams{Address: reader.PeerAddress, Known: d.published.Digest()}}
 }
 
+// sharesReads reports whether one VM reads for the failure domain.
+func (d *Discoverer) sharesReads() bool {
+	return len(d.known) >= longList || len(d.readers) >= manyReaders && d.limit >= sharedLimit
+}
+
 // chosen is the VM that reads for the failure domain.
 func (d *Discoverer) chosen() (snapshot.Member, bool) {
 	members := map[ident.VMID]snapshot.Member{}
@@ -159,7 +187,7 @@
 	}
 	d.asOf = asOf
 	effects := []effect.Effect{d.pacer.Set(now.Add(askInterval))}
-	if !changed && now.Sub(d.sentAt) < readInterval {
+	if !changed && now.Sub(d.sentAt) < d.interval {
 		return append(effects, effect.Publish{})
 	}
 	return append(effects, d.publish(now)...)
@@ -177,8 +205,8 @@
 }
 
 func (d *Discoverer) took(now time.Time, m message.RowsRead) []effect.Effect {
-	next := m.SentAt.Add(readInterval)
-	if earliest := now.Add(readInterval / 4); next.Before(earliest) {
+	next := m.SentAt.Add(d.interval)
+	if earliest := now.Add(d.interval / 4); next.Before(earliest) {
 		next = earliest
 	}
 	if m.Err != nil {
--- a/internal/discoverer/discoverer_test.go
+++ b/internal/discoverer/discoverer_test.go
@@ -36,15 +36,22 @@
 func decider() func(line string) string {
 	var rejected []string
 	other := map[ident.UpstreamID]upstream.Upstream{}
-	d := discoverer.New(snapshot.Member{VM: "self", Process: "self", Domain: "d"}, table, decode, func(err error) { rejected = append(rejected, err.Error()) })
 	now := time.Unix(0, 0)
-	d.Handle(now, message.Started{})
+	start := func(options ...discoverer.Option) *discoverer.Discoverer {
+		d := discoverer.New(snapshot.Member{VM: "self", Process: "self", Domain: "d"}, table, decode,
+			func(err error) { rejected = append(rejected, err.Error()) }, options...)
+		d.Handle(now, message.Started{})
+		return d
+	}
+	d := start()
 	return func(line string) string {
 		f := goldentest.Parse(line)
 		now = now.Add(f.Duration("after"))
 		rejected = nil
 		var effects []effect.Effect
 		switch {
+		case f.Has("limit"):
+			d = start(discoverer.WithLimit(f.Duration("limit")))
 		case f.Has("tick"):
 			effects = d.Handle(now, message.Tick{})
 		case f.Has("members"):
@@ -132,7 +139,8 @@
 
 // Guards against a list that stalls, upstreams that get work after they left,
 // live upstreams that are dropped because their entries lapsed in an outage, and
-// a long list that every VM reads or that a VM takes over although it is old.
+// a list that every VM of a large failure domain reads, or that a VM takes over
+// although it is old or the limit leaves no time for that.
 func TestDiscoverer(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decider())).To(Succeed())
 }
--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -133,6 +133,10 @@
 	})
 }
 
+// stateLimit is the bound of the known deployments on upstreams that leave and on
+// routes.
+const stateLimit = 2500 * time.Millisecond
+
 // freeAddress returns an address of the loopback interface that was free.
 func freeAddress(g *WithT) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -145,7 +149,7 @@
 	s := settings.Settings{
 		VM: ident.VMID(name), Domain: "domain", Region: "region", Regions: map[ident.Domain]ident.Region{"domain": "region"},
 		PeerAddress: freeAddress(g), MetricsAddress: freeAddress(g),
-		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace},
+		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace, DrainLimit: stateLimit, RoutesLimit: stateLimit},
 		Platform: settings.Platform{StoreAddress: netip.MustParseAddrPort(d.store.Listener.Addr().String())},
 	}
 	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(d.log))
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -78,7 +78,7 @@
 		"{{nodeName|json}}", `"edge-1"`, "{{zone|json}}", `"kl-a"`, "{{region|json}}", `"semenanjung"`,
 		"{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
 		"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
-		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8",
+		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "4000", "{{bounds.configApplyMs}}", "3000",
 		"{{#zones}}\n", "", "{{/zones}}\n", "", "{{@}} = {{.|json}}", `kl-a = "semenanjung"`,
 	).Replace(string(template))
 	s, err := loader.New().Parse("settings.toml", text)
@@ -86,6 +86,8 @@
 	Expect(s.CallerAddress.IsValid()).To(BeFalse())
 	Expect(s.Ingress.Requests.String()).To(Equal("127.0.0.1:1"))
 	Expect(s.Ingress.Grace).To(Equal(8 * time.Second))
+	Expect(s.Ingress.DrainLimit).To(Equal(4 * time.Second))
+	Expect(s.Ingress.RoutesLimit).To(Equal(3 * time.Second))
 	Expect(s.Regions).To(HaveKeyWithValue(ident.Domain("kl-a"), ident.Region("semenanjung")))
 	Expect(s.PeerAddress.String()).To(Equal("127.0.0.1:7380"))
 })
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -55,6 +55,10 @@
 			func(s Scope, v netip.AddrPort) { s.Ingress.Directory = v }}},
 		{"ingress", "grace", unitDuration, "8s", "time from SIGTERM until the process is killed", Duration{2 * time.Second, time.Hour, 0,
 			func(s Scope, v time.Duration) { s.Ingress.Grace = v }}},
+		{"ingress", "drain_limit", unitDuration, "2500ms", "time after which an upstream that leaves gets no new work", Duration{time.Second, time.Minute, 0,
+			func(s Scope, v time.Duration) { s.Ingress.DrainLimit = v }}},
+		{"ingress", "routes_limit", unitDuration, "2500ms", "time after which a version of the routes is in force", Duration{time.Second, time.Minute, 0,
+			func(s Scope, v time.Duration) { s.Ingress.RoutesLimit = v }}},
 
 		{"freshness", "configuration", unitDuration, "5s", "age of the configuration above which new work is refused", Duration{100 * ms, 5 * time.Second, 0,
 			func(s Scope, v time.Duration) { s.Freshness.Configuration = v }}},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,10 @@
 	Directory netip.AddrPort
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
+	// DrainLimit is the time after which an upstream that leaves gets no new work.
+	DrainLimit time.Duration
+	// RoutesLimit is the time after which a version of the routes is in force.
+	RoutesLimit time.Duration
 }
 
 // Platform says how the platform is reached.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -17,9 +17,15 @@
 )
 
 const (
-	// watchWait bounds one wait for changes. A connection that went silent is
-	// noticed after it; a version is to be in force within 2.5 s.
-	watchWait = 1700 * time.Millisecond
+	// defaultLimit is the time after which a version is in force on the known
+	// deployments.
+	defaultLimit = 2500 * time.Millisecond
+	// watchMargin is the part of the limit that is left when a wait for changes
+	// ends without an answer, because its connection went silent: for the pause,
+	// and for a read that takes sixty times as long as usual (4 ms).
+	watchMargin = 800 * time.Millisecond
+	// shortestWatch spaces the waits under limits that leave less time.
+	shortestWatch = 400 * time.Millisecond
 	// readPause spaces reads after an error.
 	readPause = 250 * time.Millisecond
 )
@@ -29,6 +35,8 @@
 	table  rows.Table
 	decode func(rows.Row) (*routing.Table, error)
 	reject func(error)
+	// wait bounds one wait for changes.
+	wait time.Duration
 
 	routes *routing.Table
 	asOf   time.Time
@@ -38,10 +46,23 @@
 	reader pacer.Reader
 }
 
+// Option changes how New builds a Subscriber.
+type Option func(*Subscriber)
+
+// WithLimit sets the time after which a version is in force.
+func WithLimit(limit time.Duration) Option {
+	return func(s *Subscriber) { s.wait = max(limit-watchMargin, shortestWatch) }
+}
+
 // New returns the controller for the routes in a table. Rows that can't be
 // decoded are given to reject and change nothing.
-func New(table rows.Table, decode func(rows.Row) (*routing.Table, error), reject func(error)) *Subscriber {
-	return &Subscriber{reader: pacer.NewReader(table), table: table, decode: decode, reject: reject}
+func New(table rows.Table, decode func(rows.Row) (*routing.Table, error), reject func(error), options ...Option) *Subscriber {
+	s := &Subscriber{reader: pacer.NewReader(table), table: table, decode: decode, reject: reject}
+	WithLimit(defaultLimit)(s)
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Handle follows the routes.
@@ -67,7 +88,7 @@
 		return []effect.Effect{s.reader.Set(now.Add(readPause))}
 	}
 	s.seen, s.asOf = page.Version, sent
-	effects := []effect.Effect{effect.WatchRows{Table: s.table, After: s.seen, Wait: watchWait}, effect.Publish{}}
+	effects := []effect.Effect{effect.WatchRows{Table: s.table, After: s.seen, Wait: s.wait}, effect.Publish{}}
 	for _, row := range page.Rows {
 		table, err := s.decode(row)
 		if err != nil {
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -32,9 +32,13 @@
 // decider keeps the controller from line to line.
 func decider() func(line string) string {
 	var rejected []string
-	s := subscriber.New(table, decode, func(error) { rejected = append(rejected, "rejected") })
 	now := time.Unix(0, 0)
-	s.Handle(now, message.Started{})
+	start := func(options ...subscriber.Option) *subscriber.Subscriber {
+		s := subscriber.New(table, decode, func(error) { rejected = append(rejected, "rejected") }, options...)
+		s.Handle(now, message.Started{})
+		return s
+	}
+	s := start()
 	return func(line string) string {
 		f := goldentest.Parse(line)
 		now = now.Add(f.Duration("after"))
@@ -52,6 +56,8 @@
 		}
 		var effects []effect.Effect
 		switch {
+		case f.Has("limit"):
+			s = start(subscriber.WithLimit(f.Duration("limit")))
 		case f.Has("tick"):
 			effects = s.Handle(now, message.Tick{})
 		case f.Has("read"):
@@ -76,7 +82,7 @@
 		case effect.ReadRows:
 			out.WriteString("read ")
 		case effect.WatchRows:
-			fmt.Fprintf(&out, "watch after=%d ", e.After)
+			fmt.Fprintf(&out, "watch after=%d wait=%s ", e.After, e.Wait)
 		case effect.WakeAt:
 			fmt.Fprintf(&out, "wake=%s ", e.Time.Sub(now))
 		case effect.Send:
@@ -87,7 +93,8 @@
 }
 
 // Guards against routes that revert, changes that are lost when the store drops
-// its history, and a controller that stops after an error.
+// its history, a controller that stops after an error, and a connection that is
+// silent for longer than the limit leaves.
 func TestSubscriber(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decider())).To(Succeed())
 }
