enroller, domainreader: the rows of entry VMs are read by one VM in each failure domain

Change: in a failure domain of six or more VMs one reads, each 0.9 s, and the others ask it each 0.6 s over JSON-RPC whether the list differs from theirs, named by a digest. Each VM still writes its own row, on the version that its last write or a conflict told. A VM that does not answer, or whose list is older than 2 s, is replaced by a read. The choice of the VM that reads is one package now (domainreader).

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/domainreader"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
-	"github.com/sassafrasspur/sassafrasspur/internal/sharer"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
@@ -41,10 +41,9 @@
 	// longList is the number of upstreams from which one VM reads for others,
 	// whatever the limit is. A shorter list takes one answer of the store.
 	longList = 400
-	// manyReaders is the number of VMs in a failure domain from which one reads a
-	// shorter list for the others, if the limit is at least sharedLimit: a change
-	// is known after 3.4 s if the VM that reads stops at that moment.
-	manyReaders = 6
+	// sharedLimit is the limit from which one VM of a large failure domain reads
+	// a shorter list, too: a change is known after 3.4 s if the VM that reads
+	// stops at that moment.
 	sharedLimit = 3500 * time.Millisecond
 	// askInterval spaces the questions to the VM that reads. With its own
 	// interval and an answer of the store, a change is usually known after 1.7 s.
@@ -66,9 +65,8 @@
 	limit time.Duration
 	// interval spaces reads of the list.
 	interval time.Duration
-	self     snapshot.Member
-	// readers are the VMs of the own failure domain that may read for others.
-	readers   []snapshot.Member
+	// readers are the VMs that may read for the failure domain.
+	readers   domainreader.Domainreader
 	askAfter  time.Time
 	published *upstream.List
 	// all is what is published in the order of the ids, sent at sentAt.
@@ -96,7 +94,7 @@
 // entry that names no upstream is given to reject once.
 func New(self snapshot.Member, table rows.Table, decode func(rows.Row) (upstream.Upstream, error), reject func(error), options ...Option) *Discoverer {
 	d := &Discoverer{
-		self: self, table: table, decode: decode, reject: reject, published: upstream.NewList(), limit: defaultLimit,
+		readers: domainreader.New(self, table), table: table, decode: decode, reject: reject, published: upstream.NewList(), limit: defaultLimit,
 		known: map[ident.UpstreamID]upstream.Upstream{}, rejected: map[rows.Key]bool{},
 	}
 	for _, option := range options {
@@ -118,12 +116,7 @@
 		}
 		return effects
 	case message.MembersListed:
-		d.readers = nil
-		for _, member := range m.Serving {
-			if member.Domain == d.self.Domain && member.PeerAddress != "" {
-				d.readers = append(d.readers, member)
-			}
-		}
+		d.readers.Update(m.Serving)
 	case message.RowsRead:
 		if m.Range.Table == d.table {
 			return d.took(now, m)
@@ -140,28 +133,16 @@
 
 // ask asks the VM that reads for the failure domain, or reads.
 func (d *Discoverer) ask(now time.Time) []effect.Effect {
-	reader, ok := d.chosen()
-	if !ok || reader.VM == d.self.VM || !d.sharesReads() || now.Before(d.askAfter) {
+	address, ok := d.readers.Other()
+	if !ok || !d.sharesReads() || now.Before(d.askAfter) {
 		return d.read()
 	}
-	return []effect.Effect{effect.AskUpstreams{Address: reader.PeerAddress, Known: d.published.Digest()}}
+	return []effect.Effect{effect.AskUpstreams{Address: address, Known: d.published.Digest()}}
 }
 
 // sharesReads reports whether one VM reads for the failure domain.
 func (d *Discoverer) sharesReads() bool {
-	return len(d.known) >= longList || len(d.readers) >= manyReaders && d.limit >= sharedLimit
-}
-
-// chosen is the VM that reads for the failure domain.
-func (d *Discoverer) chosen() (snapshot.Member, bool) {
-	members := map[ident.VMID]snapshot.Member{}
-	var vms []ident.VMID
-	for _, m := range d.readers {
-		members[m.VM] = m
-		vms = append(vms, m.VM)
-	}
-	vm, ok := sharer.Choose(string(d.table), vms)
-	return members[vm], ok
+	return len(d.known) >= longList || d.readers.IsLarge() && d.limit >= sharedLimit
 }
 
 // copy takes over how the list of another VM differs. If that does not lead to
--- a/internal/effect/entry.go
+++ b/internal/effect/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
@@ -30,6 +31,15 @@
 	Known   upstream.Digest
 }
 
+// AskMembers asks an entry VM how its list of entry VMs differs from a known
+// one. Reported by message.MembersCopied.
+type AskMembers struct {
+	// Address is that for peers.
+	Address string
+	Known   snapshot.MemberDigest
+}
+
+func (AskMembers) sealed()   {}
 func (AskUpstreams) sealed() {}
 func (ReadRows) sealed()     {}
 func (WatchRows) sealed()    {}
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -3,16 +3,17 @@
 //
 // A row has the store's time at which its VM wrote it. A VM serves if its row is
 // not much older than the store's time of the read that lists it; an outage of
-// the store therefore makes no VM look dead.
+// the store therefore makes no VM look dead. In a large failure domain one VM
+// reads the rows, and the others ask it how the list changed; each writes its
+// own row.
 package enroller
 
 import (
-	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/domainreader"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
@@ -26,6 +27,16 @@
 	// DefaultInterval spaces the reads of the list, each of which is followed by
 	// a write of the own row.
 	DefaultInterval = 1500 * time.Millisecond
+	// readerInterval spaces the reads of a VM that reads for others, and
+	// askInterval their questions, so that a VM that leaves is known as early as
+	// if each VM read the list.
+	readerInterval = 900 * time.Millisecond
+	askInterval    = 600 * time.Millisecond
+	// copyAge is the age of a copied list above which it is read instead: the
+	// interval of reads, and the time of a slow read.
+	copyAge = 2 * time.Second
+	// avoidPeer is how long no VM is asked after one did not answer in time.
+	avoidPeer = time.Second
 	// lifetime is the number of intervals after which a row no longer stands for
 	// a VM that runs.
 	lifetime = 3
@@ -35,43 +46,37 @@
 	forgetAfter = 10 * time.Minute
 )
 
-// memberRow is the row of an entry VM.
-type memberRow struct {
-	Address  string       `json:"address"`
-	Requests string       `json:"requests"`
-	Peer     string       `json:"peer"`
-	Domain   ident.Domain `json:"domain"`
-	Region   ident.Region `json:"region"`
-	// Process is the id of the process that wrote the row.
-	Process ident.ProcessID `json:"process"`
-	Leaving bool            `json:"leaving"`
-	Ready   bool            `json:"ready"`
-	// WrittenAt is the store's time that the VM knew when it wrote.
-	WrittenAt rows.Clock `json:"written_at"`
-}
-
 // Enroller keeps the rows of entry VMs.
 type Enroller struct {
 	self     snapshot.Member
 	interval time.Duration
-
-	serving bool
-	leaving bool
 	// leavingSince is when the VM was asked to stop.
 	leavingSince time.Time
-	members      []snapshot.Member
-	present      []snapshot.Member
-	// enrolled and announced say what is known of the own row.
-	enrolled  bool
-	announced bool
-	asOf      time.Time
-	reader    pacer.Reader
+	// list is nil until the rows were read, and sentAt when it was last passed on.
+	list    *snapshot.MemberList
+	serving []snapshot.Member
+	sentAt  time.Time
+	pacer   pacer.Pacer
+	readers domainreader.Domainreader
+	// askAfter is when another VM may be asked for its list again.
+	askAfter time.Time
+
+	// version is that of the own row as far as it is known, 0 without one.
+	version rows.Version
+	// written is the state in the row that was sent last, at writtenAt.
+	written   state
+	writtenAt time.Time
+	// stored is the state in the row that the store has, nil without one.
+	stored *state
 }
 
+// state is what a row says of its VM and changes while that runs.
+type state struct{ ready, leaving bool }
+
 // New returns the controller of a VM that reads the list at an interval, which is
 // the same for all VMs.
 func New(self snapshot.Member, interval time.Duration) *Enroller {
-	return &Enroller{reader: pacer.NewReader(table), self: self, interval: interval}
+	return &Enroller{self: self, interval: interval, readers: domainreader.New(self, table)}
 }
 
 // NoticeTime is the time in which the other VMs read a row that was written.
@@ -80,20 +85,28 @@
 // Handle follows the rows.
 func (e *Enroller) Handle(now time.Time, m message.Message) []effect.Effect {
 	switch m := m.(type) {
-	case message.Started, message.Tick:
-		return e.reader.Handle(now, m)
+	case message.Started:
+		return e.read()
+	case message.Tick:
+		due, effects := e.pacer.Tick(now)
+		if due {
+			return e.ask(now)
+		}
+		return effects
 	case message.RoutesChanged:
 		return e.serve(now, e.self.RequestAddress != "")
 	case message.ConfigurationRead:
 		// A deployment with routes may never get a configuration.
 		return e.serve(now, e.self.RequestAddress == "")
 	case message.ShutdownRequested:
-		e.leaving, e.leavingSince = true, now
+		e.self.Leaving, e.leavingSince = true, now
 		return append(e.hasten(now), effect.Publish{})
 	case message.RowsRead:
-		if e.reader.Answers(m) {
+		if m.Range.Table == table {
 			return e.took(now, m)
 		}
+	case message.MembersCopied:
+		return e.copied(now, m)
 	case message.RowsWritten:
 		return e.wrote(m)
 	}
@@ -102,96 +115,153 @@
 
 // serve notes that the VM knows what it needs to serve callers.
 func (e *Enroller) serve(now time.Time, enough bool) []effect.Effect {
-	if !enough || e.serving {
+	if !enough || e.self.Ready {
 		return nil
 	}
-	e.serving = true
+	e.self.Ready = true
 	return e.hasten(now)
 }
 
-// hasten reads, and then writes, without waiting for the interval. A read that
-// is under way serves as well.
+// hasten gets the list, and then writes, without waiting for the interval. A
+// read that is under way serves as well.
 func (e *Enroller) hasten(now time.Time) []effect.Effect {
-	if !e.reader.IsSet() {
+	if !e.pacer.IsSet() {
 		return nil
 	}
-	return []effect.Effect{e.reader.Set(now)}
+	return []effect.Effect{e.pacer.Set(now)}
+}
+
+func (e *Enroller) read() []effect.Effect {
+	return []effect.Effect{effect.ReadRows{Range: rows.Range{Table: table}}}
+}
+
+// ask asks the VM that reads for the failure domain, or reads.
+func (e *Enroller) ask(now time.Time) []effect.Effect {
+	address, ok := e.readers.Other()
+	if !ok || !e.readers.IsLarge() || now.Before(e.askAfter) {
+		return e.read()
+	}
+	return []effect.Effect{effect.AskMembers{Address: address, Known: e.list.Digest}}
 }
 
+// took takes the rows over and writes the own one.
 func (e *Enroller) took(now time.Time, m message.RowsRead) []effect.Effect {
-	effects := []effect.Effect{e.reader.Set(now.Add(e.interval))}
+	interval := e.interval
+	if _, other := e.readers.Other(); !other && e.readers.IsLarge() {
+		interval = min(interval, readerInterval)
+	}
+	effects := []effect.Effect{e.pacer.Set(now.Add(interval))}
 	if m.Err != nil {
 		return effects
 	}
-	e.asOf = m.SentAt
-	transaction := rows.Transaction{}
-	condition := rows.Condition{ID: rowID(e.self.VM)}
-	e.members, e.present = nil, nil
+	var removal rows.Transaction
+	e.version = 0
+	present := []snapshot.Member{e.self}
 	for _, row := range m.Page.Rows {
-		if row.ID == condition.ID {
-			condition.Version = row.Version
-			continue
-		}
-		var other memberRow
-		if err := json.Unmarshal(row.Value, &other); err != nil || m.Page.Clock-other.WrittenAt > rows.Clock(forgetAfter) {
-			transaction.Conditions = append(transaction.Conditions, rows.Condition{ID: row.ID, Version: row.Version})
-			transaction.Removes = append(transaction.Removes, row.ID)
+		if row.ID == rowID(e.self.VM) {
+			e.version = row.Version
 			continue
 		}
-		if m.Page.Clock-other.WrittenAt > rows.Clock(lifetime*e.interval) {
-			continue
-		}
-		member := snapshot.Member{
-			VM: ident.VMID(row.Key), Process: other.Process, Address: other.Address, RequestAddress: other.Requests, PeerAddress: other.Peer,
-			Domain: other.Domain, Region: other.Region, Leaving: other.Leaving,
+		other, age, err := decode(row, m.Page.Clock)
+		switch {
+		case err != nil || age > forgetAfter:
+			removal.Conditions = append(removal.Conditions, rows.Condition{ID: row.ID, Version: row.Version})
+			removal.Removes = append(removal.Removes, row.ID)
+		case age <= lifetime*e.interval:
+			present = append(present, other)
 		}
-		e.present = append(e.present, member)
-		if other.Ready && !other.Leaving {
-			e.members = append(e.members, member)
+	}
+	effects = append(effects, e.write(now, m.Page.Clock, removal)...)
+	return append(effects, e.pass(now, snapshot.NewMemberList(present, m.Page.Clock, m.SentAt))...)
+}
+
+// copied takes over the list of another VM, and writes the own row when its time
+// has come.
+func (e *Enroller) copied(now time.Time, m message.MembersCopied) []effect.Effect {
+	if m.Err != nil || m.Change.Age > copyAge {
+		e.askAfter = now.Add(avoidPeer)
+		return e.read()
+	}
+	effects := []effect.Effect{e.pacer.Set(now.Add(askInterval))}
+	if now.Sub(e.writtenAt) >= e.interval || e.written != e.state() {
+		effects = append(effects, e.write(now, m.Change.Clock+rows.Clock(m.Change.Age), rows.Transaction{})...)
+	}
+	asOf := m.SentAt.Add(-m.Change.Age)
+	if asOf.Before(e.list.AsOf) {
+		// A VM that reads again may know less than this one.
+		return effects
+	}
+	if m.Change.Digest == e.list.Digest && slices.Contains(e.list.Present, e.self) {
+		return append(effects, e.pass(now, e.list.At(m.Change.Clock, asOf))...)
+	}
+	present := e.list.Present
+	if m.Change.Digest != e.list.Digest {
+		present = m.Change.Present
+	}
+	all := []snapshot.Member{e.self}
+	for _, member := range present {
+		if member.VM != e.self.VM {
+			all = append(all, member)
 		}
 	}
-	self := e.self
-	self.Leaving = e.leaving
-	e.present = append(e.present, self)
-	if e.serving && !e.leaving {
-		e.members = append(e.members, self)
-	}
-	for _, list := range [][]snapshot.Member{e.members, e.present} {
-		slices.SortFunc(list, func(a, b snapshot.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
-	}
-	value, err := json.Marshal(memberRow{
-		Address: e.self.Address, Requests: e.self.RequestAddress, Peer: e.self.PeerAddress, Domain: e.self.Domain, Region: e.self.Region, Process: e.self.Process,
-		Leaving: e.leaving, Ready: e.serving, WrittenAt: m.Page.Clock,
-	})
-	if err == nil {
-		transaction.Conditions = append(transaction.Conditions, condition)
-		transaction.Puts = append(transaction.Puts, rows.Put{ID: condition.ID, Value: value})
-		effects = append(effects, effect.WriteRows{Transaction: transaction})
-	}
-	listed := message.MembersListed{Serving: e.members, AsOf: m.SentAt}
-	for _, member := range e.present {
+	return append(effects, e.pass(now, snapshot.NewMemberList(all, m.Change.Clock, asOf))...)
+}
+
+// pass passes the list on to other controllers, one that did not change once in
+// an interval.
+func (e *Enroller) pass(now time.Time, list *snapshot.MemberList) []effect.Effect {
+	changed := e.list == nil || e.list.Digest != list.Digest
+	e.list = list
+	if !changed && now.Sub(e.sentAt) < e.interval {
+		return []effect.Effect{effect.Publish{}}
+	}
+	e.sentAt = now
+	e.serving = list.Serving()
+	e.readers.Update(e.serving)
+	listed := message.MembersListed{Serving: e.serving, AsOf: list.AsOf}
+	for _, member := range list.Present {
 		listed.VMs = append(listed.VMs, member.VM)
 	}
-	return append(effects, effect.Publish{}, effect.Send{Message: listed})
+	return []effect.Effect{effect.Publish{}, effect.Send{Message: listed}}
+}
+
+func (e *Enroller) state() state { return state{ready: e.self.Ready, leaving: e.self.Leaving} }
+
+// write writes the own row together with a removal of others.
+func (e *Enroller) write(now time.Time, clock rows.Clock, t rows.Transaction) []effect.Effect {
+	row, err := encode(e.self, clock)
+	if err != nil {
+		// A row of texts and numbers can always be encoded.
+		return nil
+	}
+	e.written, e.writtenAt = e.state(), now
+	t.Conditions = append(t.Conditions, rows.Condition{ID: row.ID, Version: e.version})
+	t.Puts = append(t.Puts, row)
+	return []effect.Effect{effect.WriteRows{Transaction: t}}
 }
 
-// wrote notes what the own row says once it was written.
+// wrote notes what became of a write of the own row. Without an answer the next
+// write may meet a conflict, which has the version of the row.
 func (e *Enroller) wrote(m message.RowsWritten) []effect.Effect {
-	if _, ok := m.Outcome.(rows.Committed); !ok || m.Err != nil {
+	own, ok := ownRow(m.Transaction, e.self.VM)
+	if !ok || m.Err != nil {
 		return nil
 	}
-	for _, put := range m.Transaction.Puts {
-		var own memberRow
-		if put.ID != rowID(e.self.VM) || json.Unmarshal(put.Value, &own) != nil {
-			continue
-		}
-		if e.enrolled && e.announced == own.Leaving {
-			return nil
-		}
-		e.enrolled, e.announced = true, own.Leaving
-		return []effect.Effect{effect.Publish{}}
+	switch o := m.Outcome.(type) {
+	case rows.Committed:
+		e.version = o.Version
+	case rows.Conflict:
+		row, _ := rows.Find(o.Rows, own.ID)
+		e.version, e.writtenAt = row.Version, time.Time{}
+		return nil
 	}
-	return nil
+	written, _, err := decode(rows.Row{ID: own.ID, Value: own.Value}, 0)
+	stored := state{ready: written.Ready, leaving: written.Leaving}
+	if err != nil || e.stored != nil && e.stored.leaving == stored.leaving {
+		return nil
+	}
+	e.stored = &stored
+	return []effect.Effect{effect.Publish{}}
 }
 
 // IsFirst reports whether a VM is the first of those that serve callers.
@@ -199,15 +269,17 @@
 	return len(members) > 0 && members[0].VM == vm
 }
 
-func rowID(vm ident.VMID) rows.ID { return rows.ID{Table: table, Key: rows.Key(vm)} }
-
 // Describe adds the members to a snapshot. Without a list there is this VM
 // alone.
 func (e *Enroller) Describe(view *snapshot.Snapshot) {
-	view.Entry.Members, view.Entry.Present, view.Entry.MembersAsOf = e.members, e.present, e.asOf
-	view.Entry.Enrolled, view.Entry.LeavingAnnounced = e.enrolled, e.announced
-	view.Entry.Leaving, view.Entry.LeavingSince = e.leaving, e.leavingSince
-	if e.members == nil && e.serving && !e.leaving {
+	view.Entry.Enrolled = e.stored != nil
+	view.Entry.LeavingAnnounced = e.stored != nil && e.stored.leaving
+	view.Entry.Leaving, view.Entry.LeavingSince = e.self.Leaving, e.leavingSince
+	view.Entry.Members = e.serving
+	if len(e.serving) == 0 && e.self.Serves() {
 		view.Entry.Members = []snapshot.Member{e.self}
 	}
+	if e.list != nil {
+		view.Entry.MemberList, view.Entry.MembersAsOf, view.Entry.Present = e.list, e.list.AsOf, e.list.Present
+	}
 }
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -28,7 +28,7 @@
 		panic(err)
 	}
 	value, err := json.Marshal(map[string]any{
-		"address": fields[0] + ":1", "domain": "d1", "region": "r1",
+		"address": fields[0] + ":1", "peer": fields[0] + ":2", "domain": "d1", "region": "r1",
 		"ready": fields[1] != "starting", "leaving": fields[1] == "leaving", "written_at": clock - age,
 	})
 	if err != nil {
@@ -39,7 +39,7 @@
 
 // decider keeps the controller from line to line.
 func decider() func(line string) string {
-	e := enroller.New(snapshot.Member{VM: "self", RequestAddress: "self:1", Domain: "d1", Region: "r1", Process: "process"}, enroller.DefaultInterval)
+	e := enroller.New(snapshot.Member{VM: "self", RequestAddress: "self:1", PeerAddress: "self:2", Domain: "d1", Region: "r1", Process: "process"}, enroller.DefaultInterval)
 	now, clock := time.Unix(0, 0), time.Hour
 	e.Handle(now, message.Started{})
 	return func(line string) string {
@@ -53,6 +53,10 @@
 			effects = e.Handle(now, message.RoutesChanged{})
 		case f.Has("shutdown"):
 			effects = e.Handle(now, message.ShutdownRequested{})
+		case f.Has("copied"):
+			effects = e.Handle(now, copied(now, clock, f))
+		case f.Has("written"):
+			effects = e.Handle(now, written(f, clock))
 		default:
 			m := message.RowsRead{Range: rows.Range{Table: table}, SentAt: now, Page: rows.Page{Clock: rows.Clock(clock)}}
 			if f.Has("fails") {
@@ -75,12 +79,49 @@
 	}
 }
 
+// copied is the answer of a VM that reads for others: members, written as
+// name:state, or no answer.
+func copied(now time.Time, clock time.Duration, f goldentest.Fields) message.MembersCopied {
+	if f["copied"] == "fails" {
+		return message.MembersCopied{Err: rows.ErrUnknown, SentAt: now}
+	}
+	var present []snapshot.Member
+	for _, text := range strings.Split(f["copied"], ",") {
+		name, state, _ := strings.Cut(text, ":")
+		present = append(present, snapshot.Member{
+			VM: ident.VMID(name), Address: name + ":1", PeerAddress: name + ":2", Domain: "d1", Region: "r1", Ready: state != "starting", Leaving: state == "leaving",
+		})
+	}
+	age := f.Duration("age")
+	list := snapshot.NewMemberList(present, rows.Clock(clock-age), now.Add(-age))
+	return message.MembersCopied{Change: list.After(0, now), SentAt: now}
+}
+
+// written is the store's answer to a write of the own row: the version that the
+// row has then, or that it had already.
+func written(f goldentest.Fields, clock time.Duration) message.RowsWritten {
+	own := row("self:ready:0s", clock)
+	m := message.RowsWritten{Transaction: rows.Transaction{Puts: []rows.Put{{ID: own.ID, Value: own.Value}}}}
+	own.Version = rows.Version(f.Int("version"))
+	switch f["written"] {
+	case "committed":
+		m.Outcome = rows.Committed{Version: own.Version}
+	case "conflict":
+		m.Outcome = rows.Conflict{Rows: []rows.Row{own}}
+	default:
+		m.Err = rows.ErrUnknown
+	}
+	return m
+}
+
 func describe(now time.Time, effects []effect.Effect) string {
 	var out strings.Builder
 	for _, e := range effects {
 		switch e := e.(type) {
 		case effect.ReadRows:
 			out.WriteString("read ")
+		case effect.AskMembers:
+			fmt.Fprintf(&out, "ask %s ", e.Address)
 		case effect.WakeAt:
 			fmt.Fprintf(&out, "wake=%s ", e.Time.Sub(now))
 		case effect.WriteRows:
@@ -109,6 +150,13 @@
 	NewWithT(t).Expect(goldentest.Check("testdata/members.txtar", decider())).To(Succeed())
 }
 
+// Guards against rows that every VM of a large failure domain reads, an old copied
+// list, a VM whose own row lapses because it does not read, and a row that is
+// never written again after a lost answer.
+func TestSharedList(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/shared.txtar", decider())).To(Succeed())
+}
+
 // Guards against a single address that a caller can't replace when it fails, and
 // against distant addresses while near ones suffice.
 func TestAddresses(t *testing.T) {
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -63,6 +63,13 @@
 	SentAt time.Time
 }
 
+// MembersCopied reports effect.AskMembers.
+type MembersCopied struct {
+	Change snapshot.MemberChange
+	Err    error
+	SentAt time.Time
+}
+
 // ChooseUpstream asks for an upstream for a call.
 type ChooseUpstream struct {
 	Ticket ident.Ticket
@@ -114,5 +121,6 @@
 func (UpstreamsRead) sealed()   {}
 func (UpstreamsCopied) sealed() {}
 func (MembersListed) sealed()   {}
+func (MembersCopied) sealed()   {}
 func (ChooseUpstream) sealed()  {}
 func (CallEnded) sealed()       {}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -26,6 +26,7 @@
 	methodTake      = "grant.take"
 	methodReturn    = "grant.return"
 	methodUpstreams = "upstreams.after"
+	methodMembers   = "members.after"
 	// dialLimit bounds the opening of a connection in a failure domain.
 	dialLimit = 100 * time.Millisecond
 	// failurePause is how long a peer is not asked that did not answer.
@@ -74,8 +75,8 @@
 // escrow and the newest view of this VM.
 func (p *Peerlink) Serve(ctx context.Context, listener net.Listener, own *escrow.Escrow, view func() snapshot.Entry) {
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		if r.Method == methodUpstreams {
-			return p.handleUpstreams(r, view())
+		if r.Method == methodUpstreams || r.Method == methodMembers {
+			return p.handleList(r, view())
 		}
 		return p.handle(ctx, r, own)
 	}
--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -63,7 +63,7 @@
 // Perform starts an effect and returns at once. Its result is posted.
 func (p *Performer) Perform(e effect.Effect, post func(message.Message)) {
 	switch e.(type) {
-	case effect.ReadRows, effect.WatchRows, effect.WriteRows, effect.AskUpstreams:
+	case effect.ReadRows, effect.WatchRows, effect.WriteRows, effect.AskUpstreams, effect.AskMembers:
 		p.store.Perform(e, post)
 		return
 	}
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
@@ -20,6 +19,8 @@
 	// serve yet included.
 	Present     []Member
 	MembersAsOf time.Time
+	// MemberList is nil until the rows of entry VMs were read.
+	MemberList *MemberList
 	// Enrolled is true once the row of this process was written.
 	Enrolled bool
 	// LeavingAnnounced is true once that row says that the VM is leaving.
@@ -33,21 +34,3 @@
 	Leaving      bool
 	LeavingSince time.Time
 }
-
-// Member is an entry VM.
-type Member struct {
-	VM      ident.VMID
-	Process ident.ProcessID
-	// Address is where callers of the product's own interface connect, empty if
-	// the VM does not serve it.
-	Address string
-	// RequestAddress is where callers of the users' interface connect, empty if
-	// the VM does not serve it.
-	RequestAddress string
-	// PeerAddress is where other entry VMs connect, empty if they can't.
-	PeerAddress string
-	Domain      ident.Domain
-	Region      ident.Region
-	// Leaving is true from the request to shut the VM down.
-	Leaving bool
-}
--- a/internal/storeworker/storeworker.go
+++ b/internal/storeworker/storeworker.go
@@ -8,6 +8,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
@@ -23,6 +24,7 @@
 // Peers asks other entry VMs.
 type Peers interface {
 	Upstreams(ctx context.Context, e effect.AskUpstreams) (upstream.Change, error)
+	Members(ctx context.Context, e effect.AskMembers) (snapshot.MemberChange, error)
 }
 
 // Option changes how New builds a Storeworker.
@@ -59,6 +61,11 @@
 			change, err := w.peers.Upstreams(w.ctx, e)
 			post(message.UpstreamsCopied{Change: change, Err: err, SentAt: sent})
 		}()
+	case effect.AskMembers:
+		go func() {
+			change, err := w.peers.Members(w.ctx, e)
+			post(message.MembersCopied{Change: change, Err: err, SentAt: sent})
+		}()
 	case effect.WriteRows:
 		go func() {
 			outcome, err := w.store.Commit(w.ctx, e.Transaction)
