--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -31,18 +31,8 @@
 	byID      map[ident.UpstreamID]*state
 	asOf      time.Time
 	serving   int
-}
-
-// state is what the controller knows of one upstream.
-type state struct {
-	upstream.Upstream
-	inFlight int
-	// first is the smoothed time to the first byte, 0 without an answer.
-	first time.Duration
-	// failures counts failed calls since the last answer.
-	failures int
-	// avoidUntil is the time until which other upstreams are preferred.
-	avoidUntil time.Time
+	// usual is the smoothed time to the first byte of each route's answers.
+	usual map[ident.RouteID]time.Duration
 }
 
 // New returns the controller of a VM. The seed decides among equal choices.
@@ -52,6 +42,7 @@
 		random:    rand.New(rand.NewPCG(seed, seed)),
 		upstreams: map[ident.PoolID][]*state{},
 		byID:      map[ident.UpstreamID]*state{},
+		usual:     map[ident.RouteID]time.Duration{},
 		serving:   1,
 	}
 }
@@ -61,6 +52,7 @@
 	switch m := m.(type) {
 	case message.RoutesChanged:
 		b.routes = m.Table
+		b.usual = map[ident.RouteID]time.Duration{}
 	case message.UpstreamsRead:
 		b.list(m)
 	case message.MembersListed:
@@ -68,14 +60,36 @@
 	case message.ChooseUpstream:
 		return []effect.Effect{effect.Answer{Ticket: m.Ticket, Outcome: b.choose(now, m)}}
 	case message.CallEnded:
-		if s, ok := b.byID[m.Upstream]; ok {
-			s.inFlight = max(s.inFlight-1, 0)
-			s.learn(now, m.Result)
-		}
+		b.ended(now, m)
 	}
 	return nil
 }
 
+// ended learns from a call that no longer uses its upstream.
+func (b *Balancer) ended(now time.Time, m message.CallEnded) {
+	s, ok := b.byID[m.Upstream]
+	if !ok {
+		return
+	}
+	usual, known := b.usual[m.Route]
+	if r, ok := m.Result.(message.UpstreamAnswered); ok {
+		if !known {
+			usual = r.First
+		}
+		b.usual[m.Route] = smooth(usual, r.First)
+	}
+	s.end(now, m.Result, usual)
+}
+
+// usualTime is the time to the first byte that a call of a route is expected to
+// take.
+func (b *Balancer) usualTime(route ident.RouteID) time.Duration {
+	if usual, known := b.usual[route]; known {
+		return usual
+	}
+	return firstGuess
+}
+
 // list takes a new list over. What is known of an upstream stays; calls may
 // still be under way at one that is no longer listed.
 func (b *Balancer) list(m message.UpstreamsRead) {
@@ -85,7 +99,7 @@
 	for _, u := range m.Upstreams {
 		s, ok := b.byID[u.ID]
 		if !ok || s.Address != u.Address {
-			s = &state{}
+			s = &state{slowness: 1}
 		}
 		s.Upstream = u
 		byID[u.ID] = s
@@ -94,42 +108,6 @@
 	b.byID = byID
 }
 
-const (
-	// refusalPause is how long an upstream is avoided that was full.
-	refusalPause = 150 * time.Millisecond
-	// failurePause is how long an upstream is avoided that failed, and doubles
-	// with each failure in a row up to longestPause.
-	failurePause = 250 * time.Millisecond
-	longestPause = 2 * time.Second
-	// smoothing is the weight of the newest time to the first byte.
-	smoothing = 0.2
-)
-
-// learn notes how a call went.
-func (s *state) learn(now time.Time, result message.UpstreamResult) {
-	switch r := result.(type) {
-	case message.UpstreamAnswered:
-		s.failures = 0
-		if s.first == 0 {
-			s.first = r.First
-		}
-		s.first += time.Duration(smoothing * float64(r.First-s.first))
-	case message.UpstreamRefused:
-		s.avoidUntil = now.Add(refusalPause)
-		if r.Misdirected {
-			s.avoidUntil = now.Add(longestPause)
-		}
-	case message.UpstreamFailed:
-		pause := min(failurePause<<min(s.failures, 4), longestPause)
-		if !r.Connected {
-			pause = longestPause
-		}
-		s.failures++
-		s.avoidUntil = now.Add(pause)
-	case message.UpstreamAbandoned:
-	}
-}
-
 // choose returns the answer to a request for an upstream.
 func (b *Balancer) choose(now time.Time, m message.ChooseUpstream) outcome.Outcome {
 	best := b.best(now, m)
@@ -137,7 +115,7 @@
 		return outcome.Refused{Err: failure.Refusal(failure.NoUpstream, noUpstreamDelay,
 			"no upstream of pool %s can take the request; repeat it later", m.Pool)}
 	}
-	best.inFlight++
+	best.begin(now)
 	return outcome.Chosen{Upstream: best.Upstream, Urgency: urgency(m.Route), ViewAge: now.Sub(b.asOf)}
 }
 
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -25,6 +25,7 @@
 func decider() func(line string) string {
 	b := balancer.New(balancer.Place{Domain: "d1", Region: "r1", Regions: map[ident.Domain]ident.Region{"d1": "r1", "d2": "r1", "d3": "r2"}}, 1)
 	now := time.Unix(0, 0)
+	last := ""
 	return func(line string) string {
 		f := goldentest.Parse(line)
 		now = now.Add(f.Duration("after"))
@@ -38,10 +39,16 @@
 			b.Handle(now, message.MembersListed{Serving: make([]snapshot.Member, f.Int("members"))})
 			return ""
 		case f.Has("ended"):
-			b.Handle(now, message.CallEnded{Upstream: ident.UpstreamID(f["ended"]), Result: result(f)})
+			id := f["ended"]
+			if id == "last" {
+				id = last
+			}
+			b.Handle(now, message.CallEnded{Upstream: ident.UpstreamID(id), Route: ident.RouteID(f["route"]), Result: result(f)})
 			return ""
 		}
-		return choose(b, now, f)
+		chosen := choose(b, now, f)
+		last, _, _ = strings.Cut(chosen, " ")
+		return chosen
 	}
 }
 
@@ -70,7 +77,7 @@
 }
 
 func choose(b *balancer.Balancer, now time.Time, f goldentest.Fields) string {
-	m := message.ChooseUpstream{Pool: "pool", Route: &routing.Route{Kind: routing.Idempotent{}}, Affinity: f["affinity"]}
+	m := message.ChooseUpstream{Pool: "pool", Route: &routing.Route{ID: ident.RouteID(f["route"]), Kind: routing.Idempotent{}}, Affinity: f["affinity"]}
 	if f.Has("prompt") {
 		m.Prompt = &traffic.Prompt{Input: 4000, Parts: []traffic.Part{{Tokens: 2500}, {Tokens: 1500}}}
 		m.Route = &routing.Route{Kind: routing.Stream{}, Priority: f.Int("priority")}
@@ -90,7 +97,9 @@
 
 // Guards against work for upstreams that leave, were tried or failed, against
 // traffic between regions while near upstreams serve, against prompts that are
-// computed again elsewhere, and against more connections than an upstream takes.
+// computed again elsewhere, against more connections than an upstream takes or
+// than the calls need, and against upstreams that count as slow because they got
+// the calls of a slow route.
 func TestBalancer(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decider())).To(Succeed())
 }
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -28,6 +28,9 @@
 	// prefillRate is the number of prompt tokens that an engine reads in a
 	// millisecond.
 	prefillRate = 30.6
+	// newConnection is the cost of a call without an idle connection: the round
+	// trips of its opening and its price, by which VMs keep to few upstreams.
+	newConnection cost = 15
 	// jitter keeps VMs from choosing the same upstream among equal ones.
 	jitter cost = 4
 )
@@ -65,8 +68,11 @@
 	if now.Before(s.avoidUntil) {
 		c += avoided
 	}
+	if !s.isConnected(now) {
+		c += newConnection
+	}
 	if m.Prompt == nil {
-		return c + cost(s.inFlight+1)*milliseconds(s.first)
+		return c + cost(s.inFlight+1)*milliseconds(b.usualTime(m.Route.ID))*cost(s.currentSlowness(now))
 	}
 	c += cost(s.inFlight) * perCall
 	if !isHome {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -140,7 +140,7 @@
 		Repeatable: f.x.Route.Repeatable(),
 	})
 	next, result := f.handle(ctx, started, answer)
-	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Result: result})
+	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Route: f.x.Route.ID, Result: result})
 	return next
 }
 
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -111,6 +111,7 @@
 // CallEnded says that a call no longer uses its upstream.
 type CallEnded struct {
 	Upstream ident.UpstreamID
+	Route    ident.RouteID
 	Result   UpstreamResult
 }
 
