--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -71,9 +71,9 @@
 	if !ok {
 		return
 	}
-	usual, known := b.usual[m.Route]
+	usual := b.usualTime(m.Route)
 	if r, ok := m.Result.(message.UpstreamAnswered); ok {
-		if !known {
+		if _, known := b.usual[m.Route]; !known {
 			usual = r.First
 		}
 		b.usual[m.Route] = smooth(usual, r.First)
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -70,6 +70,10 @@
 		return message.UpstreamRefused{}
 	case "failed":
 		return message.UpstreamFailed{Connected: true}
+	case "erred":
+		return message.UpstreamErred{}
+	case "abandoned":
+		return message.UpstreamAbandoned{Silent: f.Duration("silent")}
 	case "unreachable":
 		return message.UpstreamFailed{}
 	}
@@ -99,7 +103,8 @@
 // traffic between regions while near upstreams serve, against prompts that are
 // computed again elsewhere, against more connections than an upstream takes or
 // than the calls need, and against upstreams that count as slow because they got
-// the calls of a slow route.
+// the calls of a slow route. Upstreams that hang, or answer errors at once, got as
+// many calls as others.
 func TestBalancer(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decider())).To(Succeed())
 }
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -16,6 +16,10 @@
 	longestPause = 2 * time.Second
 	// smoothing is the weight of the newest time to the first byte.
 	smoothing = 0.2
+	// leastSilence and silenceFactor, a multiple of the usual time to the first
+	// byte, bound the silence that a call may end in without being a failure.
+	leastSilence  = 300 * time.Millisecond
+	silenceFactor = 4
 	// firstGuess stands for the time to the first byte of a route without answers.
 	// Look-ups of the known deployments take 52 ms.
 	firstGuess = 50 * time.Millisecond
@@ -75,19 +79,29 @@
 		if r.Misdirected {
 			s.avoidUntil = now.Add(longestPause)
 		}
+	case message.UpstreamErred:
+		s.idleUntil = now.Add(connectionLife)
+		s.fail(now)
 	case message.UpstreamFailed:
 		s.connections = max(s.connections-1, s.inFlight)
-		pause := min(failurePause<<min(s.failures, 4), longestPause)
+		s.fail(now)
 		if !r.Connected {
-			pause = longestPause
+			s.avoidUntil = now.Add(longestPause)
 		}
-		s.failures++
-		s.avoidUntil = now.Add(pause)
 	case message.UpstreamAbandoned:
 		s.connections = max(s.connections-1, s.inFlight)
+		if r.Silent > max(leastSilence, silenceFactor*usual) {
+			s.fail(now)
+		}
 	}
 }
 
+// fail notes a failure.
+func (s *state) fail(now time.Time) {
+	s.avoidUntil = now.Add(min(failurePause<<min(s.failures, 4), longestPause))
+	s.failures++
+}
+
 // currentSlowness is the slowness while it is recent, else 1.
 func (s *state) currentSlowness(now time.Time) float64 {
 	if now.Sub(s.learnedAt) > slownessLife {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -156,12 +157,15 @@
 			f.sent++
 		}
 		if ctx.Err() != nil {
-			return again{ctx.Err()}, message.UpstreamAbandoned{}
+			return again{ctx.Err()}, message.UpstreamAbandoned{Silent: f.timers.Now().Sub(started)}
 		}
 		return again{a.Err}, message.UpstreamFailed{Connected: a.Sent}
 	case upstream.Whole:
 		f.sent++
-		result := message.UpstreamAnswered{First: f.timers.Now().Sub(started)}
+		result := message.UpstreamResult(message.UpstreamAnswered{First: f.timers.Now().Sub(started)})
+		if a.Status >= http.StatusInternalServerError {
+			result = message.UpstreamErred{}
+		}
 		if f.begun {
 			return done{failure.New(failure.UpstreamFailed, "the upstream did not resume the stream: status %d", a.Status)}, result
 		}
@@ -178,6 +182,7 @@
 func (f *forwarding) relay(ctx context.Context, started time.Time, a upstream.Streaming) (step, message.UpstreamResult) {
 	defer a.Events.Close()
 	result := message.UpstreamAnswered{}
+	heard := started
 	for {
 		event, err := a.Events.Next()
 		if errors.Is(err, io.EOF) && f.begun {
@@ -185,12 +190,13 @@
 		}
 		if err != nil {
 			if ctx.Err() != nil {
-				return again{ctx.Err()}, message.UpstreamAbandoned{}
+				return again{ctx.Err()}, message.UpstreamAbandoned{Silent: f.timers.Now().Sub(heard)}
 			}
 			return again{err}, message.UpstreamFailed{Connected: true}
 		}
+		heard = f.timers.Now()
 		if result.First == 0 {
-			result.First = f.timers.Now().Sub(started)
+			result.First = heard.Sub(started)
 		}
 		if event.ID <= f.after {
 			return done{failure.New(failure.UpstreamFailed, "event %d came again", event.ID)}, message.UpstreamFailed{Connected: true}
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -99,13 +99,20 @@
 // UpstreamFailed says that there was no complete answer.
 type UpstreamFailed struct{ Connected bool }
 
-// UpstreamAbandoned says that the call was given up for a reason that is not
-// the upstream's.
-type UpstreamAbandoned struct{}
+// UpstreamErred says that the upstream answered with an error of its own.
+type UpstreamErred struct{}
+
+// UpstreamAbandoned says that the call was given up because its time was over,
+// or its caller left or could not be written to.
+type UpstreamAbandoned struct {
+	// Silent is the time without a byte of the upstream at the end.
+	Silent time.Duration
+}
 
 func (UpstreamAnswered) upstreamResult()  {}
 func (UpstreamRefused) upstreamResult()   {}
 func (UpstreamFailed) upstreamResult()    {}
+func (UpstreamErred) upstreamResult()     {}
 func (UpstreamAbandoned) upstreamResult() {}
 
 // CallEnded says that a call no longer uses its upstream.
