forwarder, balancer, platform: requests that may be repeated go on elsewhere after a silence or an error

Change: an attempt after which another may follow fails after a silence of 400 ms or six times what is usual on the route, and the time to read the prompt; the connection is closed, by which the replica drops it. Ruled out: a second attempt beside the first, which would run both.

--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -20,6 +20,11 @@
 	// byte, bound the silence that a call may end in without being a failure.
 	leastSilence  = 300 * time.Millisecond
 	silenceFactor = 4
+	// leastPatience and patienceFactor, a multiple of the usual time to the first
+	// byte, say when a call that may run again is sent elsewhere. Callers of the
+	// known deployments give up a stream after a silence of 2 s.
+	leastPatience  = 400 * time.Millisecond
+	patienceFactor = 6
 	// firstGuess stands for the time to the first byte of a route without answers.
 	// Look-ups of the known deployments take 52 ms.
 	firstGuess = 50 * time.Millisecond
--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -212,7 +212,7 @@
 // behaviour makes all replicas treat the next request in some way, and serve
 // the following ones.
 func (d *deployment) behaviour(name string) {
-	behaviours := map[string]replica.Behaviour{"shed": replica.Shed{}, "break": replica.Break{After: 1}, "garble": replica.Garble{}}
+	behaviours := map[string]replica.Behaviour{"shed": replica.Shed{}, "break": replica.Break{After: 1}, "garble": replica.Garble{}, "hang": replica.Hang{}, "error": replica.Err{}}
 	var used atomic.Bool
 	for _, r := range d.replicas {
 		r.Decide(func(replica.Run) replica.Behaviour {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -137,6 +137,7 @@
 		Left:     f.x.Deadline.Sub(started),
 		Urgency:  chosen.Urgency,
 		After:    f.after,
+		Silence:  f.silence(started, chosen.Patience),
 
 		Repeatable: f.x.Route.Repeatable(),
 	})
@@ -145,6 +146,21 @@
 	return next
 }
 
+// silence is the limit on the silence of an attempt after which another one may
+// follow and has as much time, 0 for no limit.
+func (f *forwarding) silence(now time.Time, patience time.Duration) time.Duration {
+	if !f.maySendAgain(1) || f.x.Deadline.Sub(now) < 2*patience {
+		return 0
+	}
+	return patience
+}
+
+// maySendAgain reports whether the request may run once more after a number of
+// further attempts.
+func (f *forwarding) maySendAgain(further int) bool {
+	return f.x.Route.Repeatable() && f.sent+further < f.x.Route.Attempts
+}
+
 // handle passes an answer on to the caller. It returns how the exchange goes on
 // and what the attempt says of the upstream.
 func (f *forwarding) handle(ctx context.Context, started time.Time, answer upstream.Answer) (step, message.UpstreamResult) {
@@ -166,6 +182,9 @@
 		if a.Status >= http.StatusInternalServerError {
 			result = message.UpstreamErred{}
 		}
+		if a.Status >= http.StatusInternalServerError && f.maySendAgain(0) && f.mayGoOn(ctx) {
+			return again{errors.Errorf("the upstream answered with status %d", a.Status)}, result
+		}
 		if f.begun {
 			return done{failure.New(failure.UpstreamFailed, "the upstream did not resume the stream: status %d", a.Status)}, result
 		}
@@ -228,7 +247,7 @@
 	if ctx.Err() != nil || f.x.Trace.Refusals >= refusalLimit || f.x.Deadline.Sub(f.timers.Now()) < leastTime {
 		return false
 	}
-	return f.sent == 0 || f.x.Route.Repeatable() && f.sent < f.x.Route.Attempts
+	return f.sent == 0 || f.maySendAgain(0)
 }
 
 // unserved is the error of a request that no upstream answered. It promises that
--- a/internal/filter/forwarder/forwarder_test.go
+++ b/internal/filter/forwarder/forwarder_test.go
@@ -34,12 +34,15 @@
 	log     strings.Builder
 }
 
-// Call takes the next answer: whole=STATUS, notrun, unsent, lost, or
+// Call takes the next answer: whole, error, notrun, unsent, lost, or
 // stream:FIRST-LAST with "!" if it breaks off after the last event.
 func (s *script) Call(_ context.Context, c upstream.Call) upstream.Answer {
 	answer := s.answers[0]
 	s.answers = s.answers[1:]
 	fmt.Fprintf(&s.log, "sent(after=%d) ", c.After)
+	if c.Silence > 0 {
+		fmt.Fprintf(&s.log, "silence<=%s ", c.Silence)
+	}
 	kind, value, _ := strings.Cut(answer, ":")
 	switch kind {
 	case "notrun":
@@ -55,7 +58,11 @@
 		}
 		return upstream.Streaming{Status: http.StatusOK, Events: e}
 	}
-	return upstream.Whole{Status: http.StatusOK}
+	status := http.StatusOK
+	if kind == "error" {
+		status = http.StatusInternalServerError
+	}
+	return upstream.Whole{Status: status}
 }
 
 type events struct {
@@ -133,9 +140,13 @@
 	f := goldentest.Parse(line)
 	control := control()
 	defer control.Close()
+	left := time.Minute
+	if f.Has("left") {
+		left = f.Duration("left")
+	}
 	s := &script{answers: strings.Split(f["answers"], ",")}
 	x := &traffic.Exchange{
-		Request: traffic.Request{ID: "request"}, Pool: "pool", Deadline: time.Now().Add(time.Minute),
+		Request: traffic.Request{ID: "request"}, Pool: "pool", Deadline: time.Now().Add(left),
 		Route: &routing.Route{Kind: kind(f["kind"]), Attempts: f.Int("attempts")}, Responder: caller{&s.log},
 	}
 	err := forwarder.New(control, s, timer.New()).Serve(context.Background(), x, nil)
@@ -147,7 +158,8 @@
 
 // Guards against a request that runs twice though it may not, a promise that a
 // request did not run after it was sent, and a stream with missing or repeated
-// events.
+// events. Requests that may be repeated waited for an upstream that hangs, or got
+// its error, until the caller gave up.
 func TestForwarder(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decide)).To(Succeed())
 }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -34,6 +34,10 @@
 // Hang runs the request and does not answer until the caller leaves.
 type Hang struct{}
 
+// Err runs the request and answers with an error of its own.
+type Err struct{}
+
+func (Err) behaviour()    {}
 func (Serve) behaviour()  {}
 func (Shed) behaviour()   {}
 func (Break) behaviour()  {}
@@ -124,6 +128,9 @@
 		id = "another-request"
 		run.Request = ident.RequestID(id)
 		w.Header().Set("X-Attempt-Id", id)
+	case Err:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	case Hang:
 		<-request.Context().Done()
 		return
