ledger, turnrecorder: retained turns wait for the store while it is away

Change: after a call of the store that failed, a retained turn reads its program's rows before it runs, with the limit of a history, and is refused as not run with a time to come back if the store stays away. Ruled out: holding the last events of an answer back until the store returns, since events are passed on as they arrive.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -47,7 +47,7 @@
 	if stream.Retained {
 		turn.Previous = program.Previous
 	}
-	grant, history, err := t.prepare(ctx, x, turn)
+	grant, history, err := t.prepare(ctx, x, turn, stream.Retained)
 	x.Trace.Reserved = t.timers.Now().Sub(x.Arrived)
 	if err != nil {
 		return err
@@ -68,20 +68,21 @@
 // caller that is refused with time left comes again.
 const waitShare = 3
 
-// prepare reserves the turn's tokens and reads its history at the same time.
-func (t *Turnrecorder) prepare(ctx context.Context, x *traffic.Exchange, turn ledger.Turn) (granter.Grant, []byte, error) {
+// prepare reserves the turn's tokens, and reads the history of a retained turn at
+// the same time.
+func (t *Turnrecorder) prepare(ctx context.Context, x *traffic.Exchange, turn ledger.Turn, retained bool) (granter.Grant, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, x.Deadline.Sub(t.timers.Now())/waitShare)
 	defer cancel()
 	var history []byte
 	read := make(chan error, 1)
-	if turn.Previous == "" {
-		read <- nil
-	} else {
+	if retained {
 		go func() {
 			var err error
 			history, err = t.ledger.History(ctx, turn)
 			read <- err
 		}()
+	} else {
+		read <- nil
 	}
 	grant, err := t.take(ctx, x)
 	unread := <-read
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -38,9 +39,11 @@
 
 // Ledger reads and stores turns. It may be used by several goroutines.
 type Ledger struct {
-	store     rows.Store
-	timers    *timer.Service
-	recent    recent
+	store  rows.Store
+	timers *timer.Service
+	recent recent
+	// away is set while the last call of the store failed.
+	away      atomic.Bool
 	readLimit time.Duration
 	keepLimit time.Duration
 }
@@ -64,13 +67,17 @@
 }
 
 // History returns the text of the turns that a turn continues, the oldest first.
-// Errors are refusals: of kind not_found if there is no such turn.
+// While the store is away it waits for it, whatever is remembered: the turn could
+// not be stored, and its answer would be cut in vain. Errors are refusals: of
+// kind not_found if there is no such turn.
 func (l *Ledger) History(ctx context.Context, t Turn) ([]byte, error) {
-	if t.Previous == "" {
-		return nil, nil
-	}
-	if history, ok := l.recent.history(t.Previous); ok {
-		return history, nil
+	if !l.away.Load() {
+		if t.Previous == "" {
+			return nil, nil
+		}
+		if history, ok := l.recent.history(t.Previous); ok {
+			return history, nil
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.readLimit)
 	defer cancel()
@@ -117,12 +124,21 @@
 
 func (l *Ledger) read(ctx context.Context, p ident.ProgramID) (*account, error) {
 	page, err := l.store.Read(ctx, rows.Range{Table: turnsTable, Part: rows.Part(p)})
+	l.note(ctx, err)
 	if err != nil {
 		return nil, err
 	}
 	return newAccount(p, page)
 }
 
+// note notes whether the store was reached. A caller that left says nothing
+// about it.
+func (l *Ledger) note(ctx context.Context, err error) {
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
+		l.away.Store(err != nil)
+	}
+}
+
 // findProgram returns the account of the program that a turn belongs to.
 func (l *Ledger) findProgram(ctx context.Context, t ident.RequestID) (*account, error) {
 	program, err := l.lookUp(ctx, t)
@@ -196,6 +212,7 @@
 			return err
 		}
 		outcome, err := l.store.Commit(ctx, transaction)
+		l.note(ctx, err)
 		if err == nil {
 			if err = kept(outcome, turnID(t.Program, t.Turn), write); err == nil {
 				l.recent.add(t.Turn, t.Previous, text)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -193,3 +193,25 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(stored).To(ContainElement(rows.ID{Table: "turn_programs", Part: "1/1", Key: "program"}))
 }
+
+// Guards against retained turns that run while they can't be stored: each was cut
+// when it was complete, and a program failed after three of them.
+func TestTurnWaitsForStore(t *testing.T) {
+	g := NewWithT(t)
+	keeper := rowkeeper.New()
+	timers := timer.New()
+	l := ledger.New(keeper, timers, ledger.WithLimits(100*time.Millisecond, 100*time.Millisecond))
+	ctx := context.Background()
+	g.Expect(l.Keep(ctx, ledger.Turn{Program: "p", Turn: "one"}, []byte("in"), []byte("out"))).To(Succeed())
+	keeper.Inject(func(bool) rowkeeper.Fault { return rowkeeper.Refuse{} })
+	g.Expect(l.Keep(ctx, ledger.Turn{Program: "p", Turn: "two", Previous: "one"}, nil, nil)).NotTo(Succeed())
+	for _, next := range []ledger.Turn{{Program: "p", Turn: "three", Previous: "one"}, {Program: "q", Turn: "first"}} {
+		_, err := l.History(ctx, next)
+		g.Expect(failure.Is(err, failure.PlatformUnavailable)).To(BeTrue(), "%v", err)
+		g.Expect(failure.From(err).NotRun).To(BeTrue())
+	}
+	keeper.Inject(func(bool) rowkeeper.Fault { return nil })
+	history, err := l.History(ctx, ledger.Turn{Program: "p", Turn: "three", Previous: "one"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(history)).To(Equal("inout"))
+}
