confirmer, platform: no error of an encoding is taken for a digest; reasons at results that are dropped

Cause: the digest of a plan ignored the error of its encoding, so that two configurations that can't be encoded would have had the same digest.

--- a/internal/confirmer/confirmer.go
+++ b/internal/confirmer/confirmer.go
@@ -95,7 +95,10 @@
 	if err != nil {
 		return planner.Plan{}, err
 	}
-	s.Plan, s.Digest = plan, digest(plan.Next)
+	s.Plan = plan
+	if s.Digest, err = digest(plan.Next); err != nil {
+		return planner.Plan{}, err
+	}
 	return plan, c.write(ctx, s)
 }
 
@@ -179,7 +182,11 @@
 	if current.Version != s.Base.Version {
 		return planner.Plan{}, false, stale(s.Base, current)
 	}
-	if digest(plan.Next) != s.Digest {
+	computed, err := digest(plan.Next)
+	if err != nil {
+		return planner.Plan{}, false, err
+	}
+	if computed != s.Digest {
 		return planner.Plan{}, false, failure.Refusal(failure.PlanStale, 0, "plan %s was computed by another release, which differs; create the plan again", id)
 	}
 	body, err := json.Marshal(plan.Next)
@@ -294,9 +301,9 @@
 	return rows.Put{ID: planID(s.Plan.ID), Value: value}, errors.Annotatef(err, "encode plan %s", s.Plan.ID)
 }
 
-func digest(c *configuration.Configuration) uint64 {
-	body, _ := json.Marshal(c)
-	return xxhash.Sum64(body)
+func digest(c *configuration.Configuration) (uint64, error) {
+	body, err := json.Marshal(c)
+	return xxhash.Sum64(body), errors.Annotatef(err, "encode the configuration of plan %s", c.Plan)
 }
 
 func stale(base, current *configuration.Configuration) error {
--- a/internal/enginecaller/run.go
+++ b/internal/enginecaller/run.go
@@ -314,6 +314,7 @@
 	case code == http.StatusTooManyRequests:
 		return Refused{Cause: Full}
 	case code >= 400 && code < 500:
+		// A text that breaks off still tells more than the status.
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxText))
 		return Rejected{Status: code, Text: string(text)}
 	default:
