peerlink: a wait for changes through a peer lasts as long as it was asked for

Cause: a peer gave up each call after 2.75 s, and waits for routes last 3.2 s since they follow the limit of the deployment (found by reading): each ended as an error, after which the peer was passed over as one that does not reach the store. Change: the limit is that of the call. TestLongWait failed first. Ruled out: a shorter wait through peers, which the limit makes needless.

--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -28,6 +28,18 @@
 	return rows.Page{}, rows.ErrUnknown
 }
 
+// Changes waits in vain.
+func (silent) Changes(ctx context.Context, _ rows.Table, after rows.Version, wait time.Duration) (rows.Page, error) {
+	end := timer.New().After(wait)
+	defer end.Cancel()
+	select {
+	case <-end.C:
+		return rows.Page{Version: after}, nil
+	case <-ctx.Done():
+		return rows.Page{}, rows.ErrUnknown
+	}
+}
+
 // pair returns the address of a VM that serves peers, and another VM.
 func pair(t *testing.T, view snapshot.Entry) (string, *peerlink.Peerlink) {
 	g := NewWithT(t)
@@ -81,6 +93,16 @@
 	g.Expect(errors.Is(err, rows.ErrUnknown)).To(BeTrue(), "%v", err)
 }
 
+// Guards against a wait for changes that the peer gives up before its end, after
+// which it counts as a peer that does not reach the store.
+func TestLongWait(t *testing.T) {
+	g := NewWithT(t)
+	address, link := pair(t, snapshot.Entry{})
+	page, err := link.Changes(context.Background(), address, "routes", 7, 3200*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(page.Version).To(Equal(rows.Version(7)))
+}
+
 // Guards against a copied list that misses what changed, and against one without
 // its age, by which a VM notices that the other one no longer reads.
 func TestUpstreams(t *testing.T) {
--- a/internal/peerlink/store.go
+++ b/internal/peerlink/store.go
@@ -23,6 +23,9 @@
 	// storeLimit bounds a call of the store through a peer of another region:
 	// that of the peer, 600 ms, and the way.
 	storeLimit = 750 * time.Millisecond
+	// readLimit bounds a read for a peer, which takes several calls of the store
+	// if the range is long.
+	readLimit = storeLimit + 2*time.Second
 )
 
 // committed is the outcome of a transaction as it goes to the peer.
@@ -41,14 +44,14 @@
 
 // handleStore calls the store for a peer, directly.
 func (p *Peerlink) handleStore(ctx context.Context, r *jsonrpc2.Request) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeLimit+2*time.Second)
-	defer cancel()
 	switch r.Method {
 	case methodCommit:
 		var t rows.Transaction
 		if err := json.Unmarshal(*r.Params, &t); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
+		ctx, cancel := context.WithTimeout(ctx, storeLimit)
+		defer cancel()
 		outcome, err := p.store.Commit(ctx, t)
 		if err != nil {
 			return nil, storeError(err)
@@ -64,6 +67,8 @@
 		if err := json.Unmarshal(*r.Params, &of); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
+		ctx, cancel := context.WithTimeout(ctx, readLimit)
+		defer cancel()
 		page, err := p.store.Read(ctx, of)
 		return page, storeError(err)
 	case methodChanges:
@@ -71,6 +76,8 @@
 		if err := json.Unmarshal(*r.Params, &w); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
+		ctx, cancel := context.WithTimeout(ctx, w.Wait+storeLimit)
+		defer cancel()
 		page, err := p.store.Changes(ctx, w.Table, w.After, w.Wait)
 		return page, storeError(err)
 	}
