--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -121,3 +121,24 @@
 	_, err = other.Upstreams(context.Background(), effect.AskUpstreams{Address: empty})
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a copied list of entry VMs that is sent whole although nothing
+// changed, and against one without the store's time, from which a VM that does
+// not read dates its own row.
+func TestMembers(t *testing.T) {
+	g := NewWithT(t)
+	list := snapshot.NewMemberList([]snapshot.Member{{VM: "b", Leaving: true}, {VM: "a", Ready: true}}, 7, time.Now().Add(-time.Second))
+	address, link := pair(t, snapshot.Entry{MemberList: list})
+	change, err := link.Members(context.Background(), effect.AskMembers{Address: address})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(change.Present).To(Equal([]snapshot.Member{{VM: "a", Ready: true}, {VM: "b", Leaving: true}}))
+	g.Expect(change.Clock).To(Equal(rows.Clock(7)))
+	g.Expect(change.Age).To(BeNumerically("~", time.Second, 500*time.Millisecond))
+	again, err := link.Members(context.Background(), effect.AskMembers{Address: address, Known: change.Digest})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Present).To(BeEmpty())
+	g.Expect(again.Digest).To(Equal(change.Digest))
+	empty, other := pair(t, snapshot.Entry{})
+	_, err = other.Members(context.Background(), effect.AskMembers{Address: empty})
+	g.Expect(err).To(HaveOccurred())
+}
