escrow: a budget that is spent for good is refused from memory

Change: a VM remembers for a minute that no part is unsettled, after which nothing can come back, and refuses turns that are too large without a call. Ruled out: a refusal while any part is unsettled, even one of a VM that counts as stopped, which may wake and settle it.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -35,6 +35,9 @@
 	// reads its rows first. Programs that loop send many turns at once, and each
 	// would try a transaction.
 	exhaustedFor = 5 * time.Second
+	// finalFor is how long it remembers that nothing can come back either. Programs
+	// that loop go on for tens of seconds.
+	finalFor = time.Minute
 )
 
 // Request asks for the tokens of a turn.
@@ -88,6 +91,19 @@
 type exhaustion struct {
 	until   time.Time
 	account account
+	// left is what this VM's part still has.
+	left unit.Tokens
+	// final is set if no part is unsettled whose rest could come back.
+	final bool
+}
+
+// refuses returns the refusal of a turn for which the budget can't suffice any
+// more, nil if the store has to be asked.
+func (x exhaustion) refuses(r Request, now time.Time) *failure.Error {
+	if !x.final || now.After(x.until) || x.account.spent()+r.Largest-x.left <= r.Budget {
+		return nil
+	}
+	return refusal(r, part{left: x.left}, x.account)
 }
 
 // Escrow holds parts of budgets. It may be used by several goroutines.
@@ -147,7 +163,10 @@
 			// A fetch would go on for nobody.
 			return Grant{}, unavailable(ctx.Err())
 		}
-		grant, wait := e.tryTake(r)
+		grant, wait, err := e.tryTake(r)
+		if err != nil {
+			return Grant{}, err
+		}
 		if wait == nil {
 			return grant, nil
 		}
@@ -175,9 +194,9 @@
 	owned bool
 }
 
-// tryTake grants a turn from a part that is held. Otherwise it returns the fetch
-// to wait for.
-func (e *Escrow) tryTake(r Request) (Grant, *pending) {
+// tryTake grants a turn from a part that is held, or refuses it if the budget is
+// spent for good. Otherwise it returns the fetch to wait for.
+func (e *Escrow) tryTake(r Request) (Grant, *pending, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.parts[r.Program]
@@ -187,10 +206,13 @@
 		p.touched = e.timers.Now()
 		grant := Grant{ID: uuid.NewString(), Program: r.Program, Largest: r.Largest}
 		e.grants[grant.ID] = openGrant{part: p, largest: r.Largest, at: p.touched}
-		return grant, nil
+		return grant, nil, nil
 	}
 	if running, ok := e.fetches[r.Program]; ok {
-		return Grant{}, &pending{fetch: running}
+		return Grant{}, &pending{fetch: running}, nil
+	}
+	if refused := e.exhausted[r.Program].refuses(r, e.timers.Now()); refused != nil {
+		return Grant{}, nil, refused
 	}
 	started := &fetch{
 		done: make(chan struct{}), part: part{id: uuid.NewString(), program: r.Program}, account: e.exhausted[r.Program].account,
@@ -199,7 +221,7 @@
 		started.part, started.account = *p, p.account
 	}
 	e.fetches[r.Program] = started
-	return Grant{}, &pending{fetch: started, owned: true}
+	return Grant{}, &pending{fetch: started, owned: true}, nil
 }
 
 // run carries a fetch out. It goes on if the turn that started it is given up,
@@ -222,9 +244,24 @@
 		p.amount, p.version, p.account, p.touched = grown.amount, grown.version, grown.account, e.timers.Now()
 	}
 	if failure.Is(err, failure.BudgetExhausted) {
-		a.whole = false
-		e.exhausted[r.Program] = exhaustion{until: e.timers.Now().Add(exhaustedFor), account: a}
+		e.exhausted[r.Program] = e.exhaustion(r.Program, a)
 	}
 	delete(e.fetches, r.Program)
 	close(f.done)
 }
+
+// exhaustion is what is remembered of a budget that an account shows to be spent.
+func (e *Escrow) exhaustion(program ident.ProgramID, a account) exhaustion {
+	x := exhaustion{until: e.timers.Now().Add(exhaustedFor), final: a.whole && a.unsettled == 0}
+	if own := e.parts[program]; own != nil {
+		x.left = own.left
+		x.final = x.final && own.open == 0
+	}
+	if x.final {
+		x.until = e.timers.Now().Add(finalFor)
+	}
+	// Other VMs may settle parts until the account is used again.
+	a.whole = false
+	x.account = a
+	return x
+}
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -281,6 +282,53 @@
 	}
 }
 
+// counted is a store that counts its calls.
+type counted struct {
+	rows.Store
+	calls atomic.Int64
+}
+
+func (c *counted) Commit(ctx context.Context, t rows.Transaction) (rows.Outcome, error) {
+	c.calls.Add(1)
+	return c.Store.Commit(ctx, t)
+}
+
+func (c *counted) Read(ctx context.Context, r rows.Range) (rows.Page, error) {
+	c.calls.Add(1)
+	return c.Store.Read(ctx, r)
+}
+
+// Guards against a call of the store for each turn of a program that loops on a
+// spent budget, and against a refusal for good while a part of another VM may come
+// back.
+func TestSpentForGood(t *testing.T) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	keeper := rowkeeper.New()
+	store := &counted{Store: keeper}
+	a, b := escrow.New(ctx, keeper, timer.New()), escrow.New(ctx, store, timer.New())
+	r := escrow.Request{Program: "program", Budget: 100, Largest: 60}
+	grant, err := a.Take(ctx, r)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 2 {
+		_, err = b.Take(ctx, r)
+		g.Expect(failure.Is(err, failure.Overloaded)).To(BeTrue(), "%v", err)
+	}
+	a.Return(grant, 50)
+	a.Flush(ctx)
+	_, err = b.Take(ctx, r)
+	g.Expect(failure.Is(err, failure.BudgetExhausted)).To(BeTrue(), "%v", err)
+	known := store.calls.Load()
+	for range 10 {
+		_, err = b.Take(ctx, r)
+		g.Expect(failure.Is(err, failure.BudgetExhausted)).To(BeTrue(), "%v", err)
+	}
+	g.Expect(store.calls.Load()).To(Equal(known))
+	_, err = b.Take(ctx, escrow.Request{Program: "program", Budget: 100, Largest: 50})
+	g.Expect(err).NotTo(HaveOccurred(), "a smaller turn fits")
+}
+
 // Guards against a transaction for each turn: 600 turns a second share 1,200
 // writes a second with their storage, so that half a write is left for the
 // budget of a turn.
--- a/internal/escrow/rows.go
+++ b/internal/escrow/rows.go
@@ -87,8 +87,9 @@
 type account struct {
 	// taken is the sum of all parts, refunded what settled parts did not use.
 	taken, refunded unit.Tokens
-	// held is the sum of the parts of other VMs that may still be settled.
-	held unit.Tokens
+	// unsettled is the sum of the parts of other VMs without a settlement, held
+	// that of those whose VMs may still settle them.
+	unsettled, held unit.Tokens
 	// version is that of the budget row, 0 if there is none.
 	version rows.Version
 	// whole is set if all rows were read at this version. Otherwise parts may
@@ -117,8 +118,11 @@
 			switch {
 			case p.Settled:
 				a.refunded += p.Amount - p.Used
-			case row.ID != own && now.Sub(time.Unix(p.At, 0)) < heldLimit:
-				a.held += p.Amount
+			case row.ID != own:
+				a.unsettled += p.Amount
+				if now.Sub(time.Unix(p.At, 0)) < heldLimit {
+					a.held += p.Amount
+				}
 			}
 		}
 	}
