domainreader: the pauses of shared reading are in one place

The discoverer and the enroller had the same constants and the same wait after a VM that did not answer.

--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -1,10 +1,11 @@
 // Package discoverer has the controller that keeps the list of upstreams.
 //
-// It reads the whole list at an interval, so that no change can be lost. A long
-// list is read by one VM in each failure domain, and the others ask that one
-// how it changed: the rows of the list change all the time, although the
-// upstreams that they name hardly do. An
-// entry that is missing from the first list after an outage of the store may
+// It reads the whole list at an interval, so that no change can be lost. In a
+// large failure domain one VM reads it, and the others ask that one how it
+// changed: the rows of the list change all the time, although the upstreams that
+// they name hardly do.
+//
+// An entry that is missing from the first list after an outage of the store may
 // have lapsed although its upstream lives; it is kept until the store has been
 // back long enough for the upstream to register again. An entry that disappears
 // later is gone.
@@ -45,16 +46,6 @@
 	// a shorter list, too: a change is known after 3.4 s if the VM that reads
 	// stops at that moment.
 	sharedLimit = 3500 * time.Millisecond
-	// askInterval spaces the questions to the VM that reads. With its own
-	// interval and an answer of the store, a change is usually known after 1.7 s.
-	askInterval = 600 * time.Millisecond
-	// copyAge is the age of a copied list above which it is read instead: the
-	// interval of reads, and the second that six answers of the store with 500
-	// rows each take on a VM with a fifth of a core and 30 Mbit/s.
-	copyAge = 2 * time.Second
-	// avoidPeer is how long no VM is asked after one did not answer in time. The
-	// list is read once in it.
-	avoidPeer = longestInterval
 )
 
 // Discoverer keeps the upstreams.
@@ -67,7 +58,6 @@
 	interval time.Duration
 	// readers are the VMs that may read for the failure domain.
 	readers   domainreader.Domainreader
-	askAfter  time.Time
 	published *upstream.List
 	// all is what is published in the order of the ids, sent at sentAt.
 	all    []upstream.Upstream
@@ -133,8 +123,8 @@
 
 // ask asks the VM that reads for the failure domain, or reads.
 func (d *Discoverer) ask(now time.Time) []effect.Effect {
-	address, ok := d.readers.Other()
-	if !ok || !d.sharesReads() || now.Before(d.askAfter) {
+	address, ok := d.readers.Other(now)
+	if !ok || !d.sharesReads() {
 		return d.read()
 	}
 	return []effect.Effect{effect.AskUpstreams{Address: address, Known: d.published.Digest()}}
@@ -148,26 +138,26 @@
 // copy takes over how the list of another VM differs. If that does not lead to
 // the other VM's list, the list is read.
 func (d *Discoverer) copy(now time.Time, m message.UpstreamsCopied) []effect.Effect {
-	if m.Err != nil || m.Change.Age > copyAge {
-		d.askAfter = now.Add(avoidPeer)
+	if m.Err != nil || m.Change.Age > domainreader.CopyAge {
+		d.readers.Avoid(now)
 		return d.read()
 	}
 	asOf := m.SentAt.Add(-m.Change.Age)
 	if asOf.Before(d.asOf) {
 		// A VM that reads again may know less than this one.
-		return []effect.Effect{d.pacer.Set(now.Add(askInterval))}
+		return []effect.Effect{d.pacer.Set(now.Add(domainreader.AskInterval))}
 	}
 	changed := m.Change.Digest != d.published.Digest()
 	if changed {
 		known := m.Change.Apply(d.known)
 		if d.published.Next(known).Digest() != m.Change.Digest {
-			d.askAfter = now.Add(avoidPeer)
+			d.readers.Avoid(now)
 			return d.read()
 		}
 		d.known = known
 	}
 	d.asOf, d.lapsed = asOf, nil
-	effects := []effect.Effect{d.pacer.Set(now.Add(askInterval))}
+	effects := []effect.Effect{d.pacer.Set(now.Add(domainreader.AskInterval))}
 	if !changed && now.Sub(d.sentAt) < d.interval {
 		return append(effects, effect.Publish{})
 	}
--- a/internal/domainreader/domainreader.go
+++ b/internal/domainreader/domainreader.go
@@ -8,23 +8,36 @@
 package domainreader
 
 import (
+	"time"
+
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/sharer"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 )
 
-// Many is the number of VMs in a failure domain from which one reads for the
-// others. Fewer save little.
-const Many = 6
+const (
+	// AskInterval spaces the questions to the VM that reads.
+	AskInterval = 600 * time.Millisecond
+	// CopyAge is the age of another VM's list above which it is not copied: the
+	// interval of reads, and the second that six answers of the store with 500
+	// rows each take on a VM with a fifth of a core and 30 Mbit/s.
+	CopyAge = 2 * time.Second
+	// many is the number of VMs in a failure domain from which one reads for the
+	// others. Fewer save little.
+	many = 6
+	// avoidFor is how long no VM is asked after one did not answer in time. The
+	// table is read about once in it.
+	avoidFor = time.Second
+)
 
-// Domainreader knows the VMs of the own failure domain. The zero value of the
-// list is empty.
+// Domainreader knows the VMs of the own failure domain.
 type Domainreader struct {
-	self      snapshot.Member
-	table     rows.Table
-	vms       []ident.VMID
-	addresses map[ident.VMID]string
+	self       snapshot.Member
+	table      rows.Table
+	vms        []ident.VMID
+	addresses  map[ident.VMID]string
+	avoidUntil time.Time
 }
 
 // New returns the readers of a table in the failure domain of a VM.
@@ -43,12 +56,15 @@
 	}
 }
 
-// IsLarge reports whether the failure domain has many VMs.
-func (d *Domainreader) IsLarge() bool { return len(d.vms) >= Many }
+// IsLarge reports whether the failure domain has so many VMs that one reads.
+func (d *Domainreader) IsLarge() bool { return len(d.vms) >= many }
 
-// Other returns the address of the VM that reads, false if there is none or it
-// is this VM.
-func (d *Domainreader) Other() (string, bool) {
+// Other returns the address of the VM that reads, false if there is none, it is
+// this VM, or the last one that was asked had no recent list.
+func (d *Domainreader) Other(now time.Time) (string, bool) {
 	vm, ok := sharer.Choose(string(d.table), d.vms)
-	return d.addresses[vm], ok && vm != d.self.VM
+	return d.addresses[vm], ok && vm != d.self.VM && !now.Before(d.avoidUntil)
 }
+
+// Avoid notes that a VM that was asked had no recent list.
+func (d *Domainreader) Avoid(now time.Time) { d.avoidUntil = now.Add(avoidFor) }
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -27,16 +27,10 @@
 	// DefaultInterval spaces the reads of the list, each of which is followed by
 	// a write of the own row.
 	DefaultInterval = 1500 * time.Millisecond
-	// readerInterval spaces the reads of a VM that reads for others, and
-	// askInterval their questions, so that a VM that leaves is known as early as
-	// if each VM read the list.
-	readerInterval = 900 * time.Millisecond
-	askInterval    = 600 * time.Millisecond
-	// copyAge is the age of a copied list above which it is read instead: the
-	// interval of reads, and the time of a slow read.
-	copyAge = 2 * time.Second
-	// avoidPeer is how long no VM is asked after one did not answer in time.
-	avoidPeer = time.Second
+	// readerInterval spaces the reads of a VM that reads for others. With the
+	// interval of their questions, a VM that leaves is known as early as if each
+	// VM read the list.
+	readerInterval = DefaultInterval - domainreader.AskInterval
 	// lifetime is the number of intervals after which a row no longer stands for
 	// a VM that runs.
 	lifetime = 3
@@ -58,8 +52,6 @@
 	sentAt  time.Time
 	pacer   pacer.Pacer
 	readers domainreader.Domainreader
-	// askAfter is when another VM may be asked for its list again.
-	askAfter time.Time
 
 	// version is that of the own row as far as it is known, 0 without one.
 	version rows.Version
@@ -137,8 +129,8 @@
 
 // ask asks the VM that reads for the failure domain, or reads.
 func (e *Enroller) ask(now time.Time) []effect.Effect {
-	address, ok := e.readers.Other()
-	if !ok || !e.readers.IsLarge() || now.Before(e.askAfter) {
+	address, ok := e.readers.Other(now)
+	if !ok || !e.readers.IsLarge() {
 		return e.read()
 	}
 	return []effect.Effect{effect.AskMembers{Address: address, Known: e.list.Digest}}
@@ -147,7 +139,7 @@
 // took takes the rows over and writes the own one.
 func (e *Enroller) took(now time.Time, m message.RowsRead) []effect.Effect {
 	interval := e.interval
-	if _, other := e.readers.Other(); !other && e.readers.IsLarge() {
+	if _, other := e.readers.Other(now); !other && e.readers.IsLarge() {
 		interval = min(interval, readerInterval)
 	}
 	effects := []effect.Effect{e.pacer.Set(now.Add(interval))}
@@ -178,11 +170,11 @@
 // copied takes over the list of another VM, and writes the own row when its time
 // has come.
 func (e *Enroller) copied(now time.Time, m message.MembersCopied) []effect.Effect {
-	if m.Err != nil || m.Change.Age > copyAge {
-		e.askAfter = now.Add(avoidPeer)
+	if m.Err != nil || m.Change.Age > domainreader.CopyAge {
+		e.readers.Avoid(now)
 		return e.read()
 	}
-	effects := []effect.Effect{e.pacer.Set(now.Add(askInterval))}
+	effects := []effect.Effect{e.pacer.Set(now.Add(domainreader.AskInterval))}
 	if now.Sub(e.writtenAt) >= e.interval || e.written != e.state() {
 		effects = append(effects, e.write(now, m.Change.Clock+rows.Clock(m.Change.Age), rows.Transaction{})...)
 	}
