--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -116,18 +116,18 @@
 			"no upstream of pool %s can take the request; repeat it later", m.Pool)}
 	}
 	best.begin(now)
-	return outcome.Chosen{Upstream: best.Upstream, Urgency: urgency(m.Route), ViewAge: now.Sub(b.asOf), Patience: b.patience(m)}
+	return outcome.Chosen{Upstream: best.Upstream, Urgency: urgency(m.Route), ViewAge: now.Sub(b.asOf), SilenceLimit: b.silenceLimit(m)}
 }
 
-// patience is the silence after which a call that may run again should be sent
+// silenceLimit is the silence after which a call that may run again should be sent
 // elsewhere. It grows with the load, by which answers take longer, so that an
 // overload is not made worse.
-func (b *Balancer) patience(m message.ChooseUpstream) time.Duration {
-	p := max(leastPatience, patienceFactor*b.usualTime(m.Route.ID))
+func (b *Balancer) silenceLimit(m message.ChooseUpstream) time.Duration {
+	limit := max(minSilenceLimit, silenceLimitFactor*b.usualTime(m.Route.ID))
 	if m.Prompt != nil {
-		p += time.Duration(float64(m.Prompt.Input) / prefillRate * float64(time.Millisecond))
+		limit += time.Duration(float64(m.Prompt.Input) / prefillRate * float64(time.Millisecond))
 	}
-	return p
+	return limit
 }
 
 // noUpstreamDelay is what callers are told if no upstream is usable. The list
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -16,15 +16,16 @@
 	longestPause = 2 * time.Second
 	// smoothing is the weight of the newest time to the first byte.
 	smoothing = 0.2
-	// leastSilence and silenceFactor, a multiple of the usual time to the first
-	// byte, bound the silence that a call may end in without being a failure.
-	leastSilence  = 300 * time.Millisecond
-	silenceFactor = 4
-	// leastPatience and patienceFactor, a multiple of the usual time to the first
-	// byte, say when a call that may run again is sent elsewhere. Callers of the
-	// known deployments give up a stream after a silence of 2 s.
-	leastPatience  = 400 * time.Millisecond
-	patienceFactor = 6
+	// minFailureSilence and failureSilenceFactor, a multiple of the usual time to
+	// the first byte, bound the silence in which a call may end without being a
+	// failure of the upstream.
+	minFailureSilence    = 300 * time.Millisecond
+	failureSilenceFactor = 4
+	// minSilenceLimit and silenceLimitFactor, a multiple of the usual time to the
+	// first byte, say when a call that may run again is sent elsewhere. Callers of
+	// the known deployments give up a stream after a silence of 2 s.
+	minSilenceLimit    = 400 * time.Millisecond
+	silenceLimitFactor = 6
 	// firstGuess stands for the time to the first byte of a route without answers.
 	// Look-ups of the known deployments take 52 ms.
 	firstGuess = 50 * time.Millisecond
@@ -95,7 +96,7 @@
 		}
 	case message.UpstreamAbandoned:
 		s.connections = max(s.connections-1, s.inFlight)
-		if r.Silent > max(leastSilence, silenceFactor*usual) {
+		if r.Silent > max(minFailureSilence, failureSilenceFactor*usual) {
 			s.fail(now)
 		}
 	}
--- a/internal/bookkeeper/bookkeeper.go
+++ b/internal/bookkeeper/bookkeeper.go
@@ -20,12 +20,12 @@
 )
 
 const (
-	// defaultPatience bounds the wait for the store. A call that is not answered
+	// defaultStoreWait bounds the wait for the store. A call that is not answered
 	// takes up to 0.6 s, so that three tries fit.
-	defaultPatience = 2 * time.Second
-	// defaultKeepPatience bounds the wait for the record of an answer, which
+	defaultStoreWait = 2 * time.Second
+	// defaultKeepWait bounds the wait for the record of an answer, which
 	// exists in this process alone until then.
-	defaultKeepPatience = 10 * time.Second
+	defaultKeepWait = 10 * time.Second
 	// waitInterval spaces the looks at a call that another VM runs.
 	waitInterval = 200 * time.Millisecond
 	// settleInterval spaces the tries to record the end of an attempt in the
@@ -42,7 +42,7 @@
 	store     rows.Store
 	timers    *timer.Service
 	sequencer sequencer.Sequencer
-	patience  time.Duration
+	storeWait time.Duration
 	keep      time.Duration
 	use       func(ident.ProgramID)
 	release   func([]Release)
@@ -87,10 +87,10 @@
 // Option changes how New builds a Bookkeeper.
 type Option func(*Bookkeeper)
 
-// WithPatience sets how long a request waits for the store, and how long the
+// WithStoreWait sets how long a request waits for the store, and how long the
 // record of an answer does.
-func WithPatience(usual, keep time.Duration) Option {
-	return func(b *Bookkeeper) { b.patience, b.keep = usual, keep }
+func WithStoreWait(usual, keep time.Duration) Option {
+	return func(b *Bookkeeper) { b.storeWait, b.keep = usual, keep }
 }
 
 // WithUse sets what is told of each tree that has rows from now on.
@@ -116,7 +116,7 @@
 // New returns a bookkeeper whose background work ends with the context.
 func New(ctx context.Context, store rows.Store, timers *timer.Service, s sequencer.Sequencer, options ...Option) *Bookkeeper {
 	b := &Bookkeeper{
-		store: store, timers: timers, sequencer: s, patience: defaultPatience, keep: defaultKeepPatience,
+		store: store, timers: timers, sequencer: s, storeWait: defaultStoreWait, keep: defaultKeepWait,
 		use: func(ident.ProgramID) {}, release: func([]Release) {}, report: func(error) {},
 		stop: ctx, trees: map[ident.ProgramID]*tree{},
 	}
--- a/internal/bookkeeper/bookkeeper_test.go
+++ b/internal/bookkeeper/bookkeeper_test.go
@@ -87,7 +87,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			w := newWorld(t)
-			vm := w.vm(t, "a", bookkeeper.WithPatience(time.Millisecond, time.Millisecond))
+			vm := w.vm(t, "a", bookkeeper.WithStoreWait(time.Millisecond, time.Millisecond))
 			ctx := context.Background()
 			_, err := vm.Do(ctx, opening)
 			g.Expect(err).NotTo(HaveOccurred())
--- a/internal/bookkeeper/deciding.go
+++ b/internal/bookkeeper/deciding.go
@@ -53,10 +53,10 @@
 func (raced) step()      {}
 
 // run tries until there is an outcome. The time in which a call under way is
-// waited for does not count against the patience with the store.
+// waited for does not count against the wait for the store.
 func (d *deciding) run(ctx context.Context) (outcome.Outcome, error) {
 	timers := d.bookkeeper.timers
-	deadline := timers.Now().Add(d.patience())
+	deadline := timers.Now().Add(d.storeWait())
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, err
@@ -75,18 +75,18 @@
 			}
 		case waiting:
 			d.wait(ctx, s)
-			deadline = timers.Now().Add(d.patience())
+			deadline = timers.Now().Add(d.storeWait())
 		}
 	}
 }
 
-// patience is how long the store is waited for.
-func (d *deciding) patience() time.Duration {
+// storeWait is how long the store is waited for.
+func (d *deciding) storeWait() time.Duration {
 	switch d.request.(type) {
 	case sequencer.Complete, sequencer.Fail, sequencer.Cancel:
 		return d.bookkeeper.keep
 	}
-	return d.bookkeeper.patience
+	return d.bookkeeper.storeWait
 }
 
 func (d *deciding) wait(ctx context.Context, s waiting) {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -127,17 +127,17 @@
 	f.tried = append(f.tried, chosen.Upstream.ID)
 	f.x.Trace.Upstreams = append(f.x.Trace.Upstreams, chosen.Upstream.ID)
 	answer := f.caller.Call(ctx, upstream.Call{
-		Upstream: chosen.Upstream,
-		Request:  f.x.Request.ID,
-		Method:   f.x.Request.Method,
-		Target:   f.x.Request.Target,
-		Host:     f.x.Request.Host,
-		Header:   f.x.Request.Header,
-		Body:     f.x.Body,
-		Left:     f.x.Deadline.Sub(started),
-		Urgency:  chosen.Urgency,
-		After:    f.after,
-		Silence:  f.silence(started, chosen.Patience),
+		Upstream:     chosen.Upstream,
+		Request:      f.x.Request.ID,
+		Method:       f.x.Request.Method,
+		Target:       f.x.Request.Target,
+		Host:         f.x.Request.Host,
+		Header:       f.x.Request.Header,
+		Body:         f.x.Body,
+		Left:         f.x.Deadline.Sub(started),
+		Urgency:      chosen.Urgency,
+		After:        f.after,
+		SilenceLimit: f.silenceLimit(started, chosen.SilenceLimit),
 
 		Repeatable: f.x.Route.Repeatable(),
 	})
@@ -146,13 +146,13 @@
 	return next
 }
 
-// silence is the limit on the silence of an attempt after which another one may
-// follow and has as much time, 0 for no limit.
-func (f *forwarding) silence(now time.Time, patience time.Duration) time.Duration {
-	if !f.maySendAgain(1) || f.x.Deadline.Sub(now) < 2*patience {
+// silenceLimit is the limit on the silence of an attempt if another one may
+// follow it and has as much time, else 0 for no limit.
+func (f *forwarding) silenceLimit(now time.Time, limit time.Duration) time.Duration {
+	if !f.maySendAgain(1) || f.x.Deadline.Sub(now) < 2*limit {
 		return 0
 	}
-	return patience
+	return limit
 }
 
 // maySendAgain reports whether the request may run once more after a number of
--- a/internal/filter/forwarder/forwarder_test.go
+++ b/internal/filter/forwarder/forwarder_test.go
@@ -40,8 +40,8 @@
 	answer := s.answers[0]
 	s.answers = s.answers[1:]
 	fmt.Fprintf(&s.log, "sent(after=%d) ", c.After)
-	if c.Silence > 0 {
-		fmt.Fprintf(&s.log, "silence<=%s ", c.Silence)
+	if c.SilenceLimit > 0 {
+		fmt.Fprintf(&s.log, "silence<=%s ", c.SilenceLimit)
 	}
 	kind, value, _ := strings.Cut(answer, ":")
 	switch kind {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -79,9 +79,9 @@
 	Urgency  upstream.Urgency
 	// ViewAge is the age of the list that the upstream was chosen from.
 	ViewAge time.Duration
-	// Patience is the silence after which a call that may run again should be
-	// sent to another upstream.
-	Patience time.Duration
+	// SilenceLimit is the silence after which a call that may run again should
+	// be sent to another upstream.
+	SilenceLimit time.Duration
 }
 
 func (Chosen) sealed() {}
--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -26,10 +26,10 @@
 // longestPause bounds the wait between two tries of a call.
 const longestPause = 300 * time.Millisecond
 
-// unknownPatience is how long a caller asks again for an unknown outcome before
+// unknownLimit is how long a caller asks again for an unknown outcome before
 // it goes on with another program. Only an operator may settle what the
 // service can't tell.
-const unknownPatience = 3 * time.Second
+const unknownLimit = 3 * time.Second
 
 // load is a set of callers, each with a program whose calls run one after the
 // other.
@@ -169,7 +169,7 @@
 		if err.Kind == failure.OutcomeUnknown && unknownSince.IsZero() {
 			*unknownSince = time.Now()
 		}
-		blocked := !unknownSince.IsZero() && (c.stopping() || time.Since(*unknownSince) > unknownPatience)
+		blocked := !unknownSince.IsZero() && (c.stopping() || time.Since(*unknownSince) > unknownLimit)
 		if err.NotRun && c.renews || blocked {
 			return err
 		}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -25,9 +25,9 @@
 	Urgency Urgency
 	// After is the last event that the caller has, 0 for none.
 	After ident.EventID
-	// Silence is the longest time without a byte of the answer after which the
-	// call fails, 0 for no limit.
-	Silence time.Duration
+	// SilenceLimit is the time without a byte of the answer after which the call
+	// fails, 0 for no limit.
+	SilenceLimit time.Duration
 	// Repeatable calls may run again at another upstream.
 	Repeatable bool
 }
