processtest, soak: results are not taken from the cache after a change of the daemon

Change: the test packages import what the commands consist of. Ruled out: -count=1 in the command of README.md, which would run all other tests again.

--- a/internal/processtest/suite_test.go
+++ b/internal/processtest/suite_test.go
@@ -14,6 +14,15 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	// The commands are built by the test, which the cache of test results does not
+	// see. It sees the packages that they consist of.
+	_ "github.com/sassafrasspur/sassafrasspur"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/linewriter"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/loader"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/standin/engine"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/standin/rowserver"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/standin/service"
 )
 
 const (
--- a/internal/standin/soak/runner/runner_test.go
+++ b/internal/standin/soak/runner/runner_test.go
@@ -14,6 +14,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/runner"
+
+	// The daemon is built by the test, which the cache of test results does not
+	// see. It sees the packages that the daemon consists of.
+	_ "github.com/sassafrasspur/sassafrasspur"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/linewriter"
+	_ "github.com/sassafrasspur/sassafrasspur/internal/loader"
 )
 
 // seeds are run on each change. Seeds that ever failed stay, with their cause.
