balancer: calls that must not be repeated keep away from upstreams that failed

Change: after a failure such calls go elsewhere until a call that may be repeated was answered, or for 10 s, if there is another upstream. Ruled out: longer pauses for all calls, which would leave upstreams unused that failed once.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -82,6 +82,9 @@
 
 func choose(b *balancer.Balancer, now time.Time, f goldentest.Fields) string {
 	m := message.ChooseUpstream{Pool: "pool", Route: &routing.Route{ID: ident.RouteID(f["route"]), Kind: routing.Idempotent{}}, Affinity: f["affinity"]}
+	if f.Has("once") {
+		m.Route.Kind = routing.NonIdempotent{}
+	}
 	if f.Has("prompt") {
 		m.Prompt = &traffic.Prompt{Input: 4000, Parts: []traffic.Part{{Tokens: 2500}, {Tokens: 1500}}}
 		m.Route = &routing.Route{Kind: routing.Stream{}, Priority: f.Int("priority")}
@@ -104,7 +107,8 @@
 // computed again elsewhere, against more connections than an upstream takes or
 // than the calls need, and against upstreams that count as slow because they got
 // the calls of a slow route. Upstreams that hang, or answer errors at once, got as
-// many calls as others.
+// many calls as others; calls that must not be repeated were lost each time that
+// a VM tried such an upstream again.
 func TestBalancer(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decider())).To(Succeed())
 }
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -65,7 +65,7 @@
 // cost is the expected cost of a call at an upstream.
 func (b *Balancer) cost(now time.Time, s *state, m message.ChooseUpstream, isHome bool) cost {
 	c := b.distance(s)
-	if now.Before(s.avoidUntil) {
+	if now.Before(s.avoidUntil) || s.isSuspect(now) && !m.Route.Repeatable() {
 		c += avoided
 	}
 	if !s.isConnected(now) {
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -26,6 +26,10 @@
 	// the known deployments give up a stream after a silence of 2 s.
 	minSilenceLimit    = 400 * time.Millisecond
 	silenceLimitFactor = 6
+	// suspicionLife is how long an upstream that failed gets no calls that must not
+	// be repeated, if none that may be repeated is answered before. Upstreams of
+	// the known deployments fail for some seconds.
+	suspicionLife = 10 * time.Second
 	// firstGuess stands for the time to the first byte of a route without answers.
 	// Look-ups of the known deployments take 52 ms.
 	firstGuess = 50 * time.Millisecond
@@ -49,8 +53,9 @@
 	// usual on the routes of the calls, as of learnedAt.
 	slowness  float64
 	learnedAt time.Time
-	// failures counts failed calls since the last answer.
+	// failures counts failed calls since the last answer, the newest at failedAt.
 	failures int
+	failedAt time.Time
 	// avoidUntil is the time until which other upstreams are preferred.
 	avoidUntil time.Time
 }
@@ -106,6 +111,12 @@
 func (s *state) fail(now time.Time) {
 	s.avoidUntil = now.Add(min(failurePause<<min(s.failures, 4), longestPause))
 	s.failures++
+	s.failedAt = now
+}
+
+// isSuspect reports whether the last call failed and no answer has come since.
+func (s *state) isSuspect(now time.Time) bool {
+	return s.failures > 0 && now.Sub(s.failedAt) < suspicionLife
 }
 
 // currentSlowness is the slowness while it is recent, else 1.
