--- a/internal/processtest/suite_test.go
+++ b/internal/processtest/suite_test.go
@@ -15,16 +15,18 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	// The commands are built by the test, which the cache of test results does not
-	// see. It sees the packages that they consist of.
-	_ "github.com/sassafrasspur/sassafrasspur"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/linewriter"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/loader"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/standin/engine"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/standin/rowserver"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/standin/service"
+	"github.com/sassafrasspur/sassafrasspur"
+	"github.com/sassafrasspur/sassafrasspur/internal/linewriter"
+	"github.com/sassafrasspur/sassafrasspur/internal/loader"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/engine"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowserver"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/service"
 )
 
+// built has what the commands consist of, which the test builds. It links that
+// into the test binary, by whose contents the cache of test results goes.
+var built = []any{sassafrasspur.New, linewriter.New, loader.New, engine.New, rowserver.New, service.New}
+
 const (
 	// generous bounds waits for events whose time is not the subject of a test.
 	generous = 30 * time.Second
@@ -45,6 +47,7 @@
 }
 
 var _ = BeforeSuite(func(ctx context.Context) {
+	Expect(built).NotTo(BeEmpty())
 	var err error
 	binaries, err = os.MkdirTemp("", "processtest")
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/standin/soak/runner/runner_test.go
+++ b/internal/standin/soak/runner/runner_test.go
@@ -13,15 +13,16 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sassafrasspur/sassafrasspur"
+	"github.com/sassafrasspur/sassafrasspur/internal/linewriter"
+	"github.com/sassafrasspur/sassafrasspur/internal/loader"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/soak/runner"
-
-	// The daemon is built by the test, which the cache of test results does not
-	// see. It sees the packages that the daemon consists of.
-	_ "github.com/sassafrasspur/sassafrasspur"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/linewriter"
-	_ "github.com/sassafrasspur/sassafrasspur/internal/loader"
 )
 
+// built has what the daemon consists of, which the test builds. It links that
+// into the test binary, by whose contents the cache of test results goes.
+var built = []any{sassafrasspur.New, linewriter.New, loader.New}
+
 // seeds are run on each change. Seeds that ever failed stay, with their cause.
 var seeds = []uint64{
 	1,
@@ -35,6 +36,7 @@
 // missing answers, overspent budgets and lost turns.
 func TestSoak(t *testing.T) {
 	g := NewWithT(t)
+	g.Expect(built).NotTo(BeEmpty())
 	binary := filepath.Join(t.TempDir(), "entry")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/sassafrasspur/sassafrasspur/cmd/sassafrasspurd").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
