--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -12,6 +12,9 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 )
 
+// MaxHeadBytes bounds the head of a response of an upstream or the store.
+const MaxHeadBytes = 64 << 10
+
 const (
 	// dialTimeout limits the time to open a connection. The latency between
 	// regions is 12 ms.
@@ -40,6 +43,7 @@
 type Connection struct {
 	net.Conn
 	Reader *bufio.Reader
+	source *limitedSource
 	// Reused reports whether an earlier call used the connection.
 	Reused bool
 
@@ -73,9 +77,17 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "connect to upstream at %s", address)
 	}
-	return &Connection{Conn: conn, Reader: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
+	source := &limitedSource{conn: conn, left: unlimited}
+	return &Connection{Conn: conn, Reader: bufio.NewReaderSize(source, readBufferBytes), source: source, address: address}, nil
 }
 
+// LimitReads makes Reader fail with ErrReadLimit once n more bytes were read from
+// the network. UnlimitReads removes the limit.
+func (c *Connection) LimitReads(n int) { c.source.left = n }
+
+// UnlimitReads removes the limit of LimitReads.
+func (c *Connection) UnlimitReads() { c.source.left = unlimited }
+
 // pop removes and returns the most recently used idle connection to an address,
 // or nil if there is none.
 func (c *Connector) pop(address string) *Connection {
--- a/internal/enginecaller/caller.go
+++ b/internal/enginecaller/caller.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
@@ -105,11 +106,12 @@
 	protocols.SetHTTP1(true)
 	return &http.Client{
 		Transport: &http.Transport{
-			Protocols:           protocols,
-			DisableCompression:  true,
-			DisableKeepAlives:   disableKeepAlives,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     time.Minute,
+			Protocols:              protocols,
+			MaxResponseHeaderBytes: connector.MaxHeadBytes,
+			DisableCompression:     true,
+			DisableKeepAlives:      disableKeepAlives,
+			MaxIdleConnsPerHost:    64,
+			IdleConnTimeout:        time.Minute,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/servicecaller/caller.go
+++ b/internal/servicecaller/caller.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
@@ -79,9 +80,10 @@
 			// net/http resends a request if the server closed the reused
 			// connection. Without keep-alives, no connection is reused.
 			Transport: &http.Transport{
-				Protocols:          protocols,
-				DisableKeepAlives:  true,
-				DisableCompression: true,
+				Protocols:              protocols,
+				DisableKeepAlives:      true,
+				MaxResponseHeaderBytes: connector.MaxHeadBytes,
+				DisableCompression:     true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/upstreamprober/prober.go
+++ b/internal/upstreamprober/prober.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
@@ -53,10 +54,11 @@
 		maxBytes: 4 << 20,
 		client: &http.Client{
 			Transport: &http.Transport{
-				Protocols:           protocols,
-				DisableCompression:  true,
-				MaxIdleConnsPerHost: 2,
-				IdleConnTimeout:     time.Minute,
+				Protocols:              protocols,
+				MaxResponseHeaderBytes: connector.MaxHeadBytes,
+				DisableCompression:     true,
+				MaxIdleConnsPerHost:    2,
+				IdleConnTimeout:        time.Minute,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
