platform, upstream, reporter: log the request limit that an upstream names

Cause: neither logs nor metrics have the limit of an upstream, so that they can't tell VMs that do not know it from VMs that each use all of it.

--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -174,6 +174,7 @@
 	switch a := answer.(type) {
 	case upstream.NotRun:
 		f.x.Trace.Refusals++
+		f.x.Trace.UpstreamLimit = a.Notice.Limit
 		return retryElsewhere{errors.Errorf("the upstream refused the request: %s", a.Reason)}, message.UpstreamRefused{Misdirected: a.Misdirected}
 	case upstream.Failed:
 		if a.Sent {
@@ -185,6 +186,7 @@
 		return retryElsewhere{a.Err}, message.UpstreamFailed{Connected: a.Sent}
 	case upstream.Complete:
 		f.sent++
+		f.x.Trace.UpstreamLimit = a.Notice.Limit
 		result := message.UpstreamResult(message.UpstreamAnswered{FirstByte: f.timers.Now().Sub(started)})
 		if a.Status >= http.StatusInternalServerError {
 			result = message.UpstreamServerError{}
@@ -199,6 +201,7 @@
 		return finished{f.x.Responder.Complete(a)}, result
 	case upstream.Streaming:
 		f.sent++
+		f.x.Trace.UpstreamLimit = a.Notice.Limit
 		return f.forwardStream(ctx, started, a)
 	}
 	return finished{failure.New(failure.Internal, "unexpected answer %T of an upstream; report this", answer)}, message.UpstreamAbandoned{}
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -75,6 +75,9 @@
 		line.Strs("failures", t.Failures)
 	}
 	line.Int("refusals", t.Refusals).Int("events", t.Events).Dur("upstreams_age_ms", t.ListAge)
+	if t.UpstreamLimit > 0 {
+		line.Float64("upstream_limit_per_s", float64(t.UpstreamLimit))
+	}
 	if t.PrepareDuration > 0 {
 		line.Dur("reserved_ms", t.PrepareDuration).Str("budget_holder", string(t.Holder))
 	}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -100,6 +100,8 @@
 	StoreDuration time.Duration
 	// FirstEvent is the time from the arrival to the first event.
 	FirstEvent time.Duration
+	// UpstreamLimit is the request limit that the last upstream named, 0 if none.
+	UpstreamLimit unit.Rate
 	// ListAge is the age of the list that the last upstream was chosen from.
 	ListAge time.Duration
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 // Call is a request to an upstream.
@@ -40,6 +41,14 @@
 // NotRun, Failed, Complete and Streaming.
 type Answer interface{ answer() }
 
+// Notice is what an upstream states about itself in the head of an answer. The zero
+// value states nothing.
+type Notice struct {
+	// Limit is the rate of requests that the upstream accepts from all VMs together,
+	// 0 if it is not limited.
+	Limit unit.Rate
+}
+
 // NotRun reports that the upstream did not run the call and never will.
 type NotRun struct {
 	// Reason is one of a fixed set of texts, such as the status of the answer.
@@ -48,6 +57,7 @@
 	Misdirected bool
 	// RetryAfter is the delay that the upstream requested, 0 if it requested none.
 	RetryAfter time.Duration
+	Notice     Notice
 }
 
 // Failed reports that no complete answer arrived.
@@ -63,6 +73,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Notice Notice
 }
 
 // Streaming is an answer whose events are read from a stream.
@@ -70,6 +81,7 @@
 	Status int
 	Header http.Header
 	Events Events
+	Notice Notice
 }
 
 func (NotRun) answer()    {}
