--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
@@ -34,6 +37,17 @@
 	Program *Program
 }
 
+// Fingerprint returns a hash of the request's host, method, target and body.
+func (r *Request) Fingerprint() ident.Fingerprint {
+	hash := xxhash.New()
+	for _, part := range []string{r.Host, r.Method, r.Target} {
+		// Writing to a hash never fails.
+		_, _ = hash.WriteString(part + "\n")
+	}
+	_, _ = hash.Write(r.Body)
+	return ident.Fingerprint(strconv.FormatUint(hash.Sum64(), 16))
+}
+
 // Prompt describes the prompt of a request to an engine.
 type Prompt struct {
 	// Parts has the parts of the prompt in order.
