--- /dev/null
+++ b/internal/filter/forwarder/poison_test.go
@@ -0,0 +1,245 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
+	"github.com/sassafrasspur/sassafrasspur/internal/executor"
+	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
+	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
+	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowstore"
+	"github.com/sassafrasspur/sassafrasspur/internal/storeworker"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+)
+
+const (
+	poisonPlayTime = 24 * time.Second
+	// restartTime is the time for which an upstream that ended refuses connections.
+	restartTime = 3 * time.Second
+	// poisonWork is the time after which a poisonous request ends its upstream.
+	poisonWork = 80 * time.Millisecond
+	// poisonLimit, poisonRetries and poisonGrace state how often a request that
+	// ended three upstreams may reach further ones later. The values are the users'.
+	poisonLimit   = 3
+	poisonRetries = 3
+	poisonGrace   = 4 * time.Second
+	// poisonCopies is the number of times that a caller sends a request that fails,
+	// with poisonPause between two of them.
+	poisonCopies = 6
+	poisonPause  = 300 * time.Millisecond
+)
+
+// poisonFleet is a set of upstreams that end when they run a poisonous request.
+type poisonFleet struct {
+	start time.Time
+
+	mu        sync.Mutex
+	upstreams map[ident.UpstreamID]*mortalUpstream
+	// ended has the times at which a request ended an upstream, and sent those at
+	// which it reached one, by its body.
+	ended, sent map[string][]time.Duration
+}
+
+// mortalUpstream is an upstream that may end. The channel is closed when it ends.
+type mortalUpstream struct {
+	downUntil time.Duration
+	ended     chan struct{}
+}
+
+// Call runs a call until it is done or its upstream ends.
+func (f *poisonFleet) Call(_ context.Context, c upstream.Call) upstream.Answer {
+	body := string(c.Body)
+	f.mu.Lock()
+	u := f.upstreams[c.Upstream.ID]
+	now := time.Since(f.start)
+	if now < u.downUntil {
+		f.mu.Unlock()
+		return upstream.Failed{Err: errors.New("connection refused")}
+	}
+	f.sent[body] = append(f.sent[body], now)
+	ended := u.ended
+	f.mu.Unlock()
+	work, isPoison := limitWork, strings.HasPrefix(body, "poison")
+	if isPoison {
+		work = poisonWork
+	}
+	select {
+	case <-ended:
+		return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
+	case <-time.After(work):
+	}
+	if !isPoison {
+		return upstream.Complete{Status: http.StatusOK}
+	}
+	if f.end(c.Upstream.ID) {
+		f.mu.Lock()
+		f.ended[body] = append(f.ended[body], time.Since(f.start))
+		f.mu.Unlock()
+	}
+	return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
+}
+
+// end ends an upstream. It reports false if it is down already.
+func (f *poisonFleet) end(id ident.UpstreamID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.upstreams[id]
+	if time.Since(f.start) < u.downUntil {
+		return false
+	}
+	u.downUntil = time.Since(f.start) + restartTime
+	close(u.ended)
+	u.ended = make(chan struct{})
+	return true
+}
+
+// play sends the load of a line through its VMs and describes what the upstreams and
+// the callers saw.
+func (f *poisonFleet) play(line goldentest.Fields) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer synctest.Wait()
+	defer cancel()
+	timers := timer.New()
+	store := slowStore{Rowstore: rowstore.New()}
+	var list []upstream.Upstream
+	for i := range line.Int("upstreams") {
+		u := upstream.Upstream{ID: ident.UpstreamID(fmt.Sprint("u", i)), Pool: "pool", Address: fmt.Sprint(i)}
+		list = append(list, u)
+		f.upstreams[u.ID] = &mortalUpstream{ended: make(chan struct{})}
+	}
+	var members []snapshot.Member
+	var chains []traffic.Handler
+	var controls []*executor.Executor
+	for i := range line.Int("vms") {
+		members = append(members, snapshot.Member{VM: ident.VMID(fmt.Sprint("vm", i))})
+	}
+	for i, member := range members {
+		control := executor.New(executor.WithTimers(timers), executor.WithEffectRunner(storeworker.New(ctx, store, timers)),
+			executor.WithControllers(balancer.New(balancer.Location{VM: member.VM}, uint64(i))))
+		control.Post(message.MembersListed{Serving: members})
+		control.Post(message.UpstreamsRead{Upstreams: list, AsOf: time.Now()})
+		controls = append(controls, control)
+		chains = append(chains, traffic.Chain(forwarder.New(control, f, timers)))
+	}
+	send := func(vm int, body string) *failure.Error {
+		return failure.From(chains[vm](ctx, &traffic.Exchange{
+			Request: traffic.Request{ID: "request", Method: http.MethodPost, Target: "/", Body: []byte(body)}, Body: []byte(body),
+			Pool: "pool", Deadline: time.Now().Add(2 * time.Second),
+			Route: &routing.Route{Kind: kind(line["kind"]), Attempts: 2}, Responder: discardingResponder{},
+		}))
+	}
+	var mu sync.Mutex
+	var sent, unserved, quarantined int
+	var load, requests sync.WaitGroup
+	for i := range chains {
+		random := rand.New(rand.NewPCG(2, uint64(i)))
+		load.Go(func() {
+			for n := 0; time.Since(f.start) < poisonPlayTime; n++ {
+				time.Sleep(time.Duration(random.ExpFloat64() / line.Float("per_vm") * float64(time.Second)))
+				requests.Go(func() {
+					body := fmt.Sprint("sound ", i, " ", n)
+					err := send(i, body)
+					if err != nil {
+						time.Sleep(poisonPause)
+						err = send(random.IntN(len(chains)), body)
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					sent++
+					if err != nil {
+						unserved++
+					}
+					if err != nil && strings.Contains(err.Message, "ended") {
+						quarantined++
+					}
+				})
+			}
+		})
+	}
+	for p := range line.Int("poisons") {
+		random := rand.New(rand.NewPCG(3, uint64(p)))
+		load.Go(func() {
+			for time.Since(f.start) < poisonPlayTime {
+				time.Sleep(time.Duration(random.IntN(int(time.Second))))
+				for range poisonCopies {
+					send(random.IntN(len(chains)), fmt.Sprint("poison ", p))
+					time.Sleep(poisonPause)
+				}
+			}
+		})
+	}
+	if line.Has("ends_each") {
+		load.Go(func() {
+			random := rand.New(rand.NewPCG(4, 0))
+			for time.Since(f.start) < poisonPlayTime {
+				time.Sleep(line.Duration("ends_each"))
+				f.end(list[random.IntN(len(list))].ID)
+			}
+		})
+	}
+	load.Wait()
+	requests.Wait()
+	for _, control := range controls {
+		control.Close()
+	}
+	return fmt.Sprintf("sent more than three times after its third upstream: %t, sound requests not served: %t, taken for poisonous: %t",
+		f.isExceeded(), unserved*100 > sent, quarantined > sent/1000)
+}
+
+// isExceeded reports whether a request that ended three upstreams reached more others
+// than are allowed.
+func (f *poisonFleet) isExceeded() bool {
+	for body, ended := range f.ended {
+		slices.Sort(ended)
+		if len(ended) < poisonLimit {
+			continue
+		}
+		late := 0
+		for _, at := range f.sent[body] {
+			if at > ended[poisonLimit-1]+poisonGrace {
+				late++
+			}
+		}
+		if late > poisonRetries {
+			return true
+		}
+	}
+	return false
+}
+
+// Plays the pattern "a request ends each upstream that runs it, and its callers send
+// it again at any VM". It guards against one request that ends upstream after
+// upstream, against sound requests that fail with it, and against sound requests that
+// are taken for poisonous because they met upstreams that ended.
+func TestPoisonousRequest(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/poison/*.txtar", func(line string) (result string) {
+		f := goldentest.Parse(line)
+		synctest.Test(t, func(*testing.T) {
+			fleet := &poisonFleet{
+				start: time.Now(), upstreams: map[ident.UpstreamID]*mortalUpstream{},
+				ended: map[string][]time.Duration{}, sent: map[string][]time.Duration{},
+			}
+			result = fleet.play(f)
+		})
+		return result
+	})).To(Succeed())
+}
