rowwatcher, limitsharer: follow a table in one place

Cause: another controller needs what limitsharer does to follow the rows of a table. Change: rowwatcher reads a table, waits for changes and reads it again after an error; limitsharer uses it. Its decisions are the same.

--- a/internal/limitsharer/limitsharer.go
+++ b/internal/limitsharer/limitsharer.go
@@ -23,6 +23,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/rowwatcher"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
@@ -30,10 +31,7 @@
 const (
 	// table has one row for each upstream with a request limit.
 	table rows.Table = "upstream_limits"
-	// watchTimeout bounds one watch for changes. A VM whose watch hangs on a silent
-	// connection learns of changes of others this much later.
-	watchTimeout = 10 * time.Second
-	// retryInterval is the delay after a failed call of the store.
+	// retryInterval is the delay after a failed write.
 	retryInterval = time.Second
 	// maxWriteDelay bounds the random delay of a write. Most VMs that receive the
 	// same change then see the row of the first one and write nothing.
@@ -50,11 +48,9 @@
 
 // Limitsharer keeps the request limits of upstreams.
 type Limitsharer struct {
-	reject func(error)
-	random *rand.Rand
-	// reader schedules the next read. None is scheduled while a request to the store
-	// is pending.
-	reader pacer.Reader
+	reject  func(error)
+	random  *rand.Rand
+	watcher *rowwatcher.Rowwatcher
 	// writer schedules the next write of changes.
 	writer pacer.Pacer
 	limits map[ident.UpstreamID]*entry
@@ -82,32 +78,24 @@
 // that can't be decoded are ignored, and their errors are passed to reject.
 func New(seed uint64, reject func(error)) *Limitsharer {
 	return &Limitsharer{
-		reject: reject, random: rand.New(rand.NewPCG(seed, seed)), reader: pacer.NewReader(table),
+		reject: reject, random: rand.New(rand.NewPCG(seed, seed)), watcher: rowwatcher.New(table),
 		limits: map[ident.UpstreamID]*entry{},
 	}
 }
 
 // Handle processes a message and returns the resulting effects.
 func (l *Limitsharer) Handle(now time.Time, m message.Message) []effect.Effect {
+	update, effects := l.watcher.Handle(now, m)
+	if update != nil {
+		return append(effects, l.handleRows(*update)...)
+	}
 	switch m := m.(type) {
-	case message.Started:
-		return l.reader.Handle(now, m)
 	case message.Tick:
-		effects := l.reader.Handle(now, m)
 		due, wake := l.writer.Tick(now)
 		effects = append(effects, wake...)
 		if due {
 			effects = append(effects, l.write()...)
 		}
-		return effects
-	case message.RowsRead:
-		if l.reader.IsAnswer(m) {
-			return l.handleRows(now, m.Page, m.Err, true)
-		}
-	case message.RowsChanged:
-		if m.Table == table {
-			return l.handleRows(now, m.Page, m.Err, false)
-		}
 	case message.RowsWritten:
 		return l.handleWrite(now, m)
 	case message.UpstreamNoticed:
@@ -115,7 +103,7 @@
 	case message.UpstreamsRead:
 		return l.expire(now, m)
 	}
-	return nil
+	return effects
 }
 
 // handleNotice applies what an upstream stated in an answer to this VM.
@@ -129,17 +117,13 @@
 }
 
 // handleRows applies rows of the store, which go before what this VM has learned
-// itself: if they are older, the next answer of the upstream corrects them. A read
-// returns all rows, a watch those that changed.
-func (l *Limitsharer) handleRows(now time.Time, page rows.Page, err error, all bool) []effect.Effect {
-	if err != nil {
-		return []effect.Effect{l.reader.Set(now.Add(retryInterval))}
-	}
+// itself: if they are older, the next answer of the upstream corrects them.
+func (l *Limitsharer) handleRows(u rowwatcher.Update) []effect.Effect {
 	before := l.known()
-	if all {
-		l.forgetRows(page)
+	if u.Complete {
+		l.forgetRows(u.Page)
 	}
-	for _, row := range page.Rows {
+	for _, row := range u.Rows {
 		var stored limitRow
 		if err := json.Unmarshal(row.Value, &stored); err != nil || stored.RequestsPerSecond <= 0 {
 			l.reject(errors.Errorf("row of the request limit of upstream %s can't be used: %s", row.Key, row.Value))
@@ -147,14 +131,13 @@
 		}
 		*l.entry(ident.UpstreamID(row.Key)) = entry{limit: stored.RequestsPerSecond, version: row.Version}
 	}
-	for _, id := range page.Removed {
+	for _, id := range u.Removed {
 		delete(l.limits, ident.UpstreamID(id.Key))
 	}
-	effects := []effect.Effect{effect.WatchRows{Table: table, After: page.Version, Wait: watchTimeout}}
-	if !maps.Equal(before, l.known()) {
-		effects = append(effects, l.announce()...)
+	if maps.Equal(before, l.known()) {
+		return nil
 	}
-	return effects
+	return l.announce()
 }
 
 // forgetRows forgets the limits that others have removed from the table. Those that
