crashcounter, quarantiner: refuse requests that upstreams do not survive

Callers saw that up to two thirds of the programs failed: their requests ran beside one that ended its engine, or met engines that were down. Cause: no memory of the request. A VM remembers upstreams that fail and sends the request on, to its second upstream and each time that it comes again, at any VM. Change: a VM that finds that an upstream has ended under a request writes it to a table that all VMs watch; after three upstreams the request is refused as not run, until an upstream answers it.

--- a/chain.go
+++ b/chain.go
@@ -11,6 +11,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/quarantiner"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/routematcher"
@@ -54,6 +55,7 @@
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
 		routematcher.New(n.control.Snapshot),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
+		quarantiner.New(n.control),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
 		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers),
--- a/control.go
+++ b/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
 	"github.com/sassafrasspur/sassafrasspur/internal/configurer"
+	"github.com/sassafrasspur/sassafrasspur/internal/crashcounter"
 	"github.com/sassafrasspur/sassafrasspur/internal/discoverer"
 	"github.com/sassafrasspur/sassafrasspur/internal/effectrunner"
 	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
@@ -54,7 +55,11 @@
 	if n.ingressAPI != nil {
 		location := balancer.Location{VM: s.VM, Domain: s.Domain, Region: s.Region, Regions: s.Regions}
 		seed := uint64(uuid.New().ID())
-		all = append(all, limitsharer.New(seed, n.errorLogger("request limit rejected")), balancer.New(location, seed))
+		all = append(all,
+			limitsharer.New(seed, n.errorLogger("request limit rejected")),
+			crashcounter.New(seed, n.errorLogger("crash of a request rejected")),
+			balancer.New(location, seed),
+		)
 	}
 	if n.programAPI != nil {
 		all = append(all,
--- a/ident/ingress.go
+++ b/ident/ingress.go
@@ -11,8 +11,8 @@
 	SessionID string
 	// PartID identifies a part of a prompt that other prompts may share.
 	PartID string
-	// Fingerprint identifies the contents of a request. A client that repeats a request
-	// sends it with another id and the same fingerprint.
+	// Fingerprint identifies the target of a request, or its target and body. A client
+	// that repeats a request sends it with another id and the same fingerprints.
 	Fingerprint string
 	// EventID numbers the events of a stream in increasing order.
 	EventID int64
--- a/internal/entrylogger/entrylogger.go
+++ b/internal/entrylogger/entrylogger.go
@@ -62,6 +62,9 @@
 		if m.Err != nil {
 			e.log.Warn().Err(m.Err).Str("table", writtenTable(m.Transaction)).Msg("row of this VM not written")
 		}
+	case message.UpstreamEnded:
+		e.log.Warn().Str("request", string(m.Request)).Str("fingerprint", string(m.Contents)).Str("target_fingerprint", string(m.Target)).Str("upstream", string(m.Upstream)).
+			Msg("upstream ended with a request")
 	case message.UpstreamLimitsChanged:
 		e.logLimitChanges(m)
 	}
@@ -134,8 +137,14 @@
 	}
 }
 
-// Published logs a change in the number of entry VMs that serve callers.
+// Published logs requests that are quarantined, and a change in the number of entry VMs
+// that serve callers.
 func (e *Entrylogger) Published(before, after *snapshot.Snapshot) {
+	for f, suspect := range after.Entry.Suspects {
+		if suspect.Quarantined && !before.Entry.Suspects[f].Quarantined {
+			e.log.Warn().Str("fingerprint", string(f)).Int("upstreams", suspect.Crashes).Msg("request quarantined")
+		}
+	}
 	old, current := before.Entry.Members, after.Entry.Members
 	if len(old) == len(current) {
 		return
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -31,6 +31,7 @@
 	TooLarge            = Kind("too_large")
 	PlanStale           = Kind("plan_stale")
 	ShuttingDown        = Kind("shutting_down")
+	Quarantined         = Kind("quarantined")
 	Internal            = Kind("internal")
 )
 
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -58,6 +59,9 @@
 	sent      int
 	headSent  bool
 	lastEvent ident.EventID
+	// broken is true if the connection broke in the current attempt before an answer
+	// or an event.
+	broken bool
 }
 
 // step is the next step after an attempt. The interface is sealed: the variants are
@@ -148,11 +152,47 @@
 		Repeatable: f.x.Route.Repeatable(),
 	})
 	f.reportNotice(chosen, answer)
+	f.broken = false
 	next, result := f.handle(ctx, started, answer)
-	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Route: f.x.Route.ID, Result: result})
+	ended := f.broken && f.hasEnded(ctx, chosen.Upstream)
+	if ended {
+		result = message.UpstreamFailed{Connected: false}
+	}
+	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Route: f.x.Route.ID, Target: f.x.Request.TargetFingerprint(), Result: result})
+	if ended && f.isQuarantined(ctx, chosen.Upstream.ID) {
+		return finished{failure.New(failure.UpstreamFailed, "upstreams end while they have this request; it may have run")}
+	}
 	return next
 }
 
+// endedTimeout bounds the check whether an upstream has ended. A host whose process
+// has ended refuses a connection within a round trip.
+const endedTimeout = 200 * time.Millisecond
+
+// hasEnded reports whether the process of an upstream has ended.
+func (f *forwarding) hasEnded(ctx context.Context, u upstream.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
+	return f.caller.HasEnded(ctx, u)
+}
+
+// isQuarantined counts an upstream that ended with the request and reports whether the
+// request must not be sent to another one.
+func (f *forwarding) isQuarantined(ctx context.Context, ended ident.UpstreamID) bool {
+	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
+		return message.UpstreamEnded{
+			Ticket: t, Request: f.x.Request.ID, Upstream: ended,
+			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Request.Fingerprint(),
+		}
+	})
+	if err != nil {
+		// The caller has left or the VM stops, so that no other attempt follows.
+		return false
+	}
+	counted, ok := answer.(outcome.CrashCounted)
+	return ok && counted.Quarantined
+}
+
 // reportNotice reports what the upstream stated in the head of its answer if it
 // differs from what was known.
 func (f *forwarding) reportNotice(chosen outcome.UpstreamChosen, answer upstream.Answer) {
@@ -203,6 +243,7 @@
 		if ctx.Err() != nil {
 			return retryElsewhere{ctx.Err()}, message.UpstreamAbandoned{SilentFor: f.timers.Now().Sub(started)}
 		}
+		f.broken = a.Sent && !errors.Is(a.Err, os.ErrDeadlineExceeded)
 		return retryElsewhere{a.Err}, message.UpstreamFailed{Connected: a.Sent}
 	case upstream.Complete:
 		f.sent++
@@ -239,6 +280,7 @@
 			if ctx.Err() != nil {
 				return retryElsewhere{ctx.Err()}, message.UpstreamAbandoned{SilentFor: f.timers.Now().Sub(lastReceived)}
 			}
+			f.broken = result.FirstByte == 0 && !errors.Is(err, os.ErrDeadlineExceeded)
 			return retryElsewhere{err}, message.UpstreamFailed{Connected: true}
 		}
 		lastReceived = f.timers.Now()
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,9 +18,11 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
+	"github.com/sassafrasspur/sassafrasspur/internal/crashcounter"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/quarantiner"
 	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
@@ -75,7 +78,8 @@
 		f.mu.Unlock()
 		return upstream.Failed{Err: errors.New("connection refused")}
 	}
-	f.sent[body] = append(f.sent[body], now)
+	request, _, _ := strings.Cut(body, ",")
+	f.sent[request] = append(f.sent[request], now)
 	ended := u.ended
 	f.mu.Unlock()
 	work, isPoison := limitWork, strings.HasPrefix(body, "poison")
@@ -92,12 +96,19 @@
 	}
 	if f.end(c.Upstream.ID) {
 		f.mu.Lock()
-		f.ended[body] = append(f.ended[body], time.Since(f.start))
+		f.ended[request] = append(f.ended[request], time.Since(f.start))
 		f.mu.Unlock()
 	}
 	return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
 }
 
+// HasEnded reports whether an upstream is down.
+func (f *poisonFleet) HasEnded(_ context.Context, u upstream.Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.start) < f.upstreams[u.ID].downUntil
+}
+
 // end ends an upstream. It reports false if it is down already.
 func (f *poisonFleet) end(id ident.UpstreamID) bool {
 	f.mu.Lock()
@@ -134,15 +145,16 @@
 	}
 	for i, member := range members {
 		control := executor.New(executor.WithTimers(timers), executor.WithEffectRunner(storeworker.New(ctx, store, timers)),
-			executor.WithControllers(balancer.New(balancer.Location{VM: member.VM}, uint64(i))))
+			executor.WithControllers(crashcounter.New(uint64(i), func(err error) { panic(err) }), balancer.New(balancer.Location{VM: member.VM}, uint64(i))))
 		control.Post(message.MembersListed{Serving: members})
 		control.Post(message.UpstreamsRead{Upstreams: list, AsOf: time.Now()})
 		controls = append(controls, control)
-		chains = append(chains, traffic.Chain(forwarder.New(control, f, timers)))
+		chains = append(chains, traffic.Chain(quarantiner.New(control), forwarder.New(control, f, timers)))
 	}
+	var requestID atomic.Int64
 	send := func(vm int, body string) *failure.Error {
 		return failure.From(chains[vm](ctx, &traffic.Exchange{
-			Request: traffic.Request{ID: "request", Method: http.MethodPost, Target: "/", Body: []byte(body)}, Body: []byte(body),
+			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: []byte(body)}, Body: []byte(body),
 			Pool: "pool", Deadline: time.Now().Add(2 * time.Second),
 			Route: &routing.Route{Kind: kind(line["kind"]), Attempts: 2}, Responder: discardingResponder{},
 		}))
@@ -168,7 +180,7 @@
 					if err != nil {
 						unserved++
 					}
-					if err != nil && strings.Contains(err.Message, "ended") {
+					if err != nil && err.Kind == failure.Quarantined {
 						quarantined++
 					}
 				})
@@ -176,16 +188,7 @@
 		})
 	}
 	for p := range line.Int("poisons") {
-		random := rand.New(rand.NewPCG(3, uint64(p)))
-		load.Go(func() {
-			for time.Since(f.start) < poisonPlayTime {
-				time.Sleep(time.Duration(random.IntN(int(time.Second))))
-				for range poisonCopies {
-					send(random.IntN(len(chains)), fmt.Sprint("poison ", p))
-					time.Sleep(poisonPause)
-				}
-			}
-		})
+		load.Go(func() { f.sendPoison(line, p, len(chains), send) })
 	}
 	if line.Has("ends_each") {
 		load.Go(func() {
@@ -205,6 +208,35 @@
 		f.isExceeded(), unserved*100 > sent, quarantined > sent/1000)
 }
 
+// sendPoison sends copies of a poisonous request to random VMs until the end of the
+// play. A copy is sent again, unchanged, when it fails.
+func (f *poisonFleet) sendPoison(line goldentest.Fields, p, vms int, send func(vm int, body string) *failure.Error) {
+	random := rand.New(rand.NewPCG(3, uint64(p)))
+	for time.Since(f.start) < poisonPlayTime {
+		time.Sleep(time.Duration(random.IntN(int(time.Second))))
+		body := fmt.Sprint("poison ", p)
+		if !line.Has("shared_target") {
+			body += "," + strings.Repeat(" history", random.IntN(9))
+		}
+		for range poisonCopies {
+			if send(random.IntN(vms), body) == nil {
+				break
+			}
+			time.Sleep(poisonPause)
+		}
+	}
+}
+
+// target returns the target of a request. Each request has its own, or all share one.
+// A later copy of a poisonous request has a longer body.
+func target(line goldentest.Fields, body string) string {
+	if line.Has("shared_target") {
+		return "/"
+	}
+	request, _, _ := strings.Cut(body, ",")
+	return "/" + strings.ReplaceAll(request, " ", "/")
+}
+
 // isExceeded reports whether a request that ended three upstreams reached more others
 // than are allowed.
 func (f *poisonFleet) isExceeded() bool {
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -72,7 +72,7 @@
 		line.Str("next_upstream", string(id))
 	}
 	if len(t.Failures) > 0 {
-		line.Str("fingerprint", string(x.Request.Fingerprint()))
+		line.Str("fingerprint", string(x.Request.Fingerprint())).Str("target_fingerprint", string(x.Request.TargetFingerprint()))
 		line.Strs("failures", t.Failures)
 	}
 	line.Int("refusals", t.Refusals).Int("events", t.Events).Dur("upstreams_age_ms", t.ListAge)
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -83,6 +83,22 @@
 	Limits map[ident.UpstreamID]unit.Rate
 }
 
+// UpstreamEnded reports that an upstream ended while it had a call, before it answered.
+// Answered with outcome.CrashCounted.
+type UpstreamEnded struct {
+	Ticket   ident.Ticket
+	Request  ident.RequestID
+	Upstream ident.UpstreamID
+	// Target and Contents are the fingerprints of the request's target, and of its
+	// target and body.
+	Target   ident.Fingerprint
+	Contents ident.Fingerprint
+}
+
+// SuspectAnswered reports that an upstream answered a request with a fingerprint under
+// which other upstreams had ended.
+type SuspectAnswered struct{ Fingerprint ident.Fingerprint }
+
 // ChooseUpstream requests an upstream for a call. Answered with outcome.UpstreamChosen or
 // outcome.Refused.
 type ChooseUpstream struct {
@@ -135,7 +151,9 @@
 type CallEnded struct {
 	Upstream ident.UpstreamID
 	Route    ident.RouteID
-	Result   UpstreamResult
+	// Target is the fingerprint of the request's target.
+	Target ident.Fingerprint
+	Result UpstreamResult
 }
 
 func (RowsRead) sealed()              {}
@@ -150,3 +168,5 @@
 func (UpstreamLimitsChanged) sealed() {}
 func (ChooseUpstream) sealed()        {}
 func (CallEnded) sealed()             {}
+func (UpstreamEnded) sealed()         {}
+func (SuspectAnswered) sealed()       {}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -61,6 +61,12 @@
 	Cached unit.Tokens
 }
 
+// CrashCounted confirms that the end of an upstream was counted.
+type CrashCounted struct {
+	// Quarantined is true if the request must not be sent to further upstreams.
+	Quarantined bool
+}
+
 // Refused rejects a request with an error.
 type Refused struct{ Err *failure.Error }
 
@@ -88,3 +94,4 @@
 }
 
 func (UpstreamChosen) sealed() {}
+func (CrashCounted) sealed()   {}
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
@@ -31,7 +32,17 @@
 	// missing from the newest list are retained.
 	UpstreamList  *upstream.List
 	UpstreamsAsOf time.Time
+	// Suspects has the requests with which upstreams ended, nil if there is none.
+	Suspects map[ident.Fingerprint]Suspect
 	// Leaving is true from the shutdown request, received at LeavingSince.
 	Leaving      bool
 	LeavingSince time.Time
 }
+
+// Suspect is a request with which upstreams ended.
+type Suspect struct {
+	// Crashes is the number of upstreams that ended.
+	Crashes int
+	// Quarantined is true if the request must not be sent to further upstreams.
+	Quarantined bool
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -39,13 +39,24 @@
 
 // Fingerprint returns a hash of the request's host, method, target and body.
 func (r *Request) Fingerprint() ident.Fingerprint {
+	hash := r.hashTarget()
+	// Writing to a hash never fails.
+	_, _ = hash.Write(r.Body)
+	return ident.Fingerprint(strconv.FormatUint(hash.Sum64(), 16))
+}
+
+// TargetFingerprint returns a hash of the request's host, method and target.
+func (r *Request) TargetFingerprint() ident.Fingerprint {
+	return ident.Fingerprint(strconv.FormatUint(r.hashTarget().Sum64(), 16))
+}
+
+func (r *Request) hashTarget() *xxhash.Digest {
 	hash := xxhash.New()
 	for _, part := range []string{r.Host, r.Method, r.Target} {
 		// Writing to a hash never fails.
 		_, _ = hash.WriteString(part + "\n")
 	}
-	_, _ = hash.Write(r.Body)
-	return ident.Fingerprint(strconv.FormatUint(hash.Sum64(), 16))
+	return hash
 }
 
 // Prompt describes the prompt of a request to an engine.
