balancer, platform: send nothing to an upstream that says that it leaves

Cause: an upstream that leaves says so in its answers, and only the platform's list was read, which tells it late, or never for some upstreams.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -37,6 +37,8 @@
 	serving []snapshot.Member
 	// limits has the request limits of upstreams. It is immutable.
 	limits map[ident.UpstreamID]unit.Rate
+	// leaving has the upstreams that said in an answer that they leave.
+	leaving map[ident.UpstreamID]*leavingNotice
 	// firstByteTimes is the smoothed time to the first byte of each route.
 	firstByteTimes map[ident.RouteID]time.Duration
 }
@@ -49,6 +51,7 @@
 		random:         rand.New(rand.NewPCG(seed, seed)),
 		upstreams:      map[ident.PoolID][]*upstreamState{},
 		byID:           map[ident.UpstreamID]*upstreamState{},
+		leaving:        map[ident.UpstreamID]*leavingNotice{},
 		firstByteTimes: map[ident.RouteID]time.Duration{},
 	}
 }
@@ -62,6 +65,9 @@
 	case message.UpstreamsRead:
 		b.setUpstreams(m)
 		b.addAllowances(now)
+		b.applyLeaving(now)
+	case message.UpstreamNoticed:
+		b.noteLeaving(now, m)
 	case message.MembersListed:
 		changed := !slices.Equal(b.serving, m.Serving)
 		b.serving = m.Serving
--- a/internal/balancer/notice_test.go
+++ b/internal/balancer/notice_test.go
@@ -14,13 +14,14 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
-// newLimitDecider returns a function that applies lines to the balancer of vm1 in
+// newNoticeDecider returns a function that applies lines to the balancer of vm1 in
 // failure domain d1. A line with "calls" chooses an upstream each 100 ms and returns
 // how often each one was chosen.
-func newLimitDecider() func(line string) string {
+func newNoticeDecider() func(line string) string {
 	regions := map[ident.Domain]ident.Region{"d1": "r1", "d2": "r1", "d3": "r2"}
 	b := balancer.New(balancer.Location{VM: "vm1", Domain: "d1", Region: "r1", Regions: regions}, 1)
 	now := time.Unix(0, 0)
@@ -39,6 +40,8 @@
 				}
 			}
 			b.Handle(now, message.UpstreamLimitsChanged{Limits: limits})
+		case f.Has("notice"):
+			b.Handle(now, message.UpstreamNoticed{Upstream: ident.UpstreamID(f["notice"]), Notice: upstream.Notice{Leaving: f.Has("leaving")}})
 		case f.Has("serving"):
 			var m message.MembersListed
 			for _, word := range strings.Split(f["serving"], ",") {
@@ -67,5 +70,12 @@
 // against programs that all move to one upstream when those of their region have a
 // limit.
 func TestRequestLimits(t *testing.T) {
-	NewWithT(t).Expect(goldentest.Check("testdata/limits/*.txtar", newLimitDecider())).To(Succeed())
+	NewWithT(t).Expect(goldentest.Check("testdata/limits/*.txtar", newNoticeDecider())).To(Succeed())
+}
+
+// TestLeavingNotice guards against calls to an upstream that has said in an answer that
+// it leaves, which the platform's list may tell late or never, and against an upstream
+// that stays unused after its process has started again.
+func TestLeavingNotice(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/leaving/*.txtar", newNoticeDecider())).To(Succeed())
 }
--- a/internal/entrylogger/entrylogger.go
+++ b/internal/entrylogger/entrylogger.go
@@ -65,6 +65,10 @@
 	case message.UpstreamEnded:
 		e.log.Warn().Str("request", string(m.Request)).Str("fingerprint", string(m.Contents)).Str("target_fingerprint", string(m.Target)).Str("upstream", string(m.Upstream)).
 			Msg("upstream ended with a request")
+	case message.UpstreamNoticed:
+		if m.Notice.Leaving {
+			e.log.Info().Str("upstream", string(m.Upstream)).Msg("upstream says that it leaves")
+		}
 	case message.UpstreamLimitsChanged:
 		e.logLimitChanges(m)
 	}
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -208,7 +208,7 @@
 		return
 	}
 	f.x.Trace.UpstreamLimit = notice.Limit
-	if notice.Limit != chosen.Limit {
+	if notice.Limit != chosen.Limit || notice.Leaving {
 		f.control.Post(message.UpstreamNoticed{Upstream: chosen.Upstream.ID, Notice: notice})
 	}
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -47,6 +47,8 @@
 	// Limit is the rate of requests that the upstream accepts from all VMs together,
 	// 0 if it is not limited.
 	Limit unit.Rate
+	// Leaving is true if the upstream shuts down and must get no new work.
+	Leaving bool
 }
 
 // NotRun reports that the upstream did not run the call and never will.
