--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -65,6 +65,8 @@
 	mu     sync.Mutex
 	decide func(Run) Behaviour
 	runs   []Run
+	// limit is the request limit that answers name, empty for none.
+	limit string
 }
 
 // Option configures a Replica.
@@ -98,6 +100,14 @@
 	r.decide = decide
 }
 
+// SetLimit sets the request limit that answers name, in requests a second. An empty
+// limit ends it. The replica serves what exceeds it.
+func (r *Replica) SetLimit(limit string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = limit
+}
+
 // Runs returns the requests that were run so far.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -122,7 +132,10 @@
 		After: ident.EventID(headerInteger(request, "Last-Event-Id")),
 	}
 	run.TimeLeft = time.Duration(headerInteger(request, "X-Deadline-Ms")) * time.Millisecond
-	behaviour := r.decideAndRecord(run)
+	behaviour, limit := r.decideAndRecord(run)
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	if _, shed := behaviour.(Shed); shed {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -166,16 +179,16 @@
 	return n
 }
 
-// decideAndRecord returns the behaviour for a request and records the run unless
-// the request is shed.
-func (r *Replica) decideAndRecord(run Run) Behaviour {
+// decideAndRecord returns the behaviour for a request and the current limit, and records
+// the run unless the request is shed.
+func (r *Replica) decideAndRecord(run Run) (Behaviour, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	behaviour := r.decide(run)
 	if _, shed := behaviour.(Shed); !shed {
 		r.runs = append(r.runs, run)
 	}
-	return behaviour
+	return behaviour, r.limit
 }
 
 // stream writes the events after run.After up to and including last.
