crashcounter: let restarted VMs trust the crashes that others counted

Cause: a VM that had answered fewer than 20 requests ignored rows that count by target. Change: the VM that writes a row decides whether the target identifies the request; a VM that reads it ignores it only if it has answered that target. Result: the line of TestPoisonousRequest with restarted VMs fails before and passes.

--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -46,7 +46,7 @@
 	// maxTargets is the number of targets that a VM remembers as answered.
 	maxTargets = 4096
 	// minAnswers is the number of answers from which a VM knows whether many requests
-	// share a target. Before, it recognizes repeats by their body.
+	// share a target. Before, it counts crashes by the body only.
 	minAnswers = 20
 	// retryInterval is the delay after a failed write.
 	retryInterval = time.Second
@@ -111,7 +111,7 @@
 		}
 	case message.CallEnded:
 		if _, ok := m.Result.(message.UpstreamAnswered); ok {
-			return c.remember(m.Target)
+			c.remember(m.Target)
 		}
 	case message.UpstreamEnded:
 		return c.count(now, m)
@@ -124,13 +124,10 @@
 }
 
 // remember records that a request with a target was answered.
-func (c *Crashcounter) remember(target ident.Fingerprint) []effect.Effect {
-	var effects []effect.Effect
-	if c.answers++; c.answers == minAnswers {
-		effects = append(effects, effect.Publish{})
-	}
+func (c *Crashcounter) remember(target ident.Fingerprint) {
+	c.answers++
 	if c.answered[target] {
-		return effects
+		return
 	}
 	c.answered[target] = true
 	c.recent = append(c.recent, target)
@@ -138,7 +135,6 @@
 		delete(c.answered, c.recent[0])
 		c.recent = c.recent[1:]
 	}
-	return effects
 }
 
 // count records a crash and answers whether the request is quarantined.
@@ -152,7 +148,7 @@
 		t.Puts = append(t.Puts, c.put(f, key)...)
 		quarantined = quarantined || c.suspect(f).Quarantined
 	}
-	if !c.answered[m.Target] {
+	if c.answers >= minAnswers && !c.answered[m.Target] {
 		add(m.Target, true)
 	}
 	// The fingerprints of a request without a body are equal.
@@ -302,13 +298,13 @@
 func rowID(key rows.Key) rows.ID { return rows.ID{Table: table, Key: key} }
 
 // suspect returns what is known of a request. Calls that ended together with the same
-// upstream count once.
+// upstream count once. A target whose requests this VM has answered identifies none.
 func (c *Crashcounter) suspect(f ident.Fingerprint) snapshot.Suspect {
 	upstreams := map[ident.UpstreamID]bool{}
 	isIdentified := true
 	for _, crash := range c.crashes[f] {
 		upstreams[crash.upstream] = true
-		isIdentified = !crash.byTarget || c.answers >= minAnswers && !c.answered[f]
+		isIdentified = !crash.byTarget || !c.answered[f]
 	}
 	return snapshot.Suspect{Crashes: len(upstreams), Quarantined: isIdentified && len(upstreams) >= maxCrashes}
 }
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -36,6 +36,8 @@
 
 const (
 	poisonPlayTime = 24 * time.Second
+	// poisonRestart is the time at which VMs are restarted.
+	poisonRestart = 12 * time.Second
 	// restartTime is the time for which an upstream that ended refuses connections.
 	restartTime = 3 * time.Second
 	// poisonWork is the time after which a poisonous request ends its upstream.
@@ -54,6 +56,9 @@
 // poisonFleet is a set of upstreams that end when they run a poisonous request.
 type poisonFleet struct {
 	start time.Time
+	// timesOut is true if upstreams answer a part of the poisonous requests with a
+	// timeout, before they begin to run them.
+	timesOut bool
 
 	mu        sync.Mutex
 	upstreams map[ident.UpstreamID]*mortalUpstream
@@ -94,6 +99,12 @@
 	if !isPoison {
 		return upstream.Complete{Status: http.StatusOK}
 	}
+	f.mu.Lock()
+	timedOut := f.timesOut && len(f.sent[request])%2 == 0
+	f.mu.Unlock()
+	if timedOut {
+		return upstream.Complete{Status: http.StatusGatewayTimeout}
+	}
 	if f.end(c.Upstream.ID) {
 		f.mu.Lock()
 		f.ended[request] = append(f.ended[request], time.Since(f.start))
@@ -138,22 +149,26 @@
 		f.upstreams[u.ID] = &mortalUpstream{ended: make(chan struct{})}
 	}
 	var members []snapshot.Member
-	var chains []traffic.Handler
-	var controls []*executor.Executor
 	for i := range line.Int("vms") {
 		members = append(members, snapshot.Member{VM: ident.VMID(fmt.Sprint("vm", i))})
 	}
-	for i, member := range members {
+	chains := make([]atomic.Pointer[traffic.Handler], len(members))
+	var controls []*executor.Executor
+	startVM := func(i int) {
 		control := executor.New(executor.WithTimers(timers), executor.WithEffectRunner(storeworker.New(ctx, store, timers)),
-			executor.WithControllers(crashcounter.New(uint64(i), func(err error) { panic(err) }), balancer.New(balancer.Location{VM: member.VM}, uint64(i))))
+			executor.WithControllers(crashcounter.New(uint64(i), func(err error) { panic(err) }), balancer.New(balancer.Location{VM: members[i].VM}, uint64(i))))
 		control.Post(message.MembersListed{Serving: members})
 		control.Post(message.UpstreamsRead{Upstreams: list, AsOf: time.Now()})
 		controls = append(controls, control)
-		chains = append(chains, traffic.Chain(quarantiner.New(control), forwarder.New(control, f, timers)))
+		chain := traffic.Chain(quarantiner.New(control), forwarder.New(control, f, timers))
+		chains[i].Store(&chain)
+	}
+	for i := range members {
+		startVM(i)
 	}
 	var requestID atomic.Int64
 	send := func(vm int, body string) *failure.Error {
-		return failure.From(chains[vm](ctx, &traffic.Exchange{
+		return failure.From((*chains[vm].Load())(ctx, &traffic.Exchange{
 			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: []byte(body)}, Body: []byte(body),
 			Pool: "pool", Deadline: time.Now().Add(2 * time.Second),
 			Route: &routing.Route{Kind: kind(line["kind"]), Attempts: 2}, Responder: discardingResponder{},
@@ -190,6 +205,12 @@
 	for p := range line.Int("poisons") {
 		load.Go(func() { f.sendPoison(line, p, len(chains), send) })
 	}
+	load.Go(func() {
+		time.Sleep(poisonRestart)
+		for i := range line.Int("restarted") {
+			startVM(i)
+		}
+	})
 	if line.Has("ends_each") {
 		load.Go(func() {
 			random := rand.New(rand.NewPCG(4, 0))
@@ -267,7 +288,7 @@
 		f := goldentest.Parse(line)
 		synctest.Test(t, func(*testing.T) {
 			fleet := &poisonFleet{
-				start: time.Now(), upstreams: map[ident.UpstreamID]*mortalUpstream{},
+				start: time.Now(), timesOut: f.Has("times_out"), upstreams: map[ident.UpstreamID]*mortalUpstream{},
 				ended: map[string][]time.Duration{}, sent: map[string][]time.Duration{},
 			}
 			result = fleet.play(f)
