quarantiner: clear a suspect only by an answer of success

Cause: an upstream answers 504 at the deadline of a request that still waits there, and each answer cleared the request; found while reading, no run had shown it. Change: only a 2xx answer clears a request. Result: the line of TestPoisonousRequest with timeouts fails before (sent more than three times after its third upstream) and passes.

--- a/internal/filter/quarantiner/quarantiner.go
+++ b/internal/filter/quarantiner/quarantiner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -46,7 +47,8 @@
 		}
 	}
 	err := next(ctx, x)
-	if err == nil {
+	// An upstream may also answer with an error before it begins to run a request.
+	if err == nil && x.Trace.Status/100 == http.StatusOK/100 {
 		for _, f := range matches {
 			q.control.Post(message.SuspectAnswered{Fingerprint: f})
 		}
