limitsharer: keep no entry for an upstream without a limit

Cause: a notice of an upstream that leaves and names no limit added an entry that was never removed; found while reading. Change: such a notice adds none. Result: TestLimitsharer passes unchanged.

--- a/internal/limitsharer/limitsharer.go
+++ b/internal/limitsharer/limitsharer.go
@@ -108,10 +108,10 @@
 
 // handleNotice applies what an upstream stated in an answer to this VM.
 func (l *Limitsharer) handleNotice(now time.Time, m message.UpstreamNoticed) []effect.Effect {
-	e := l.entry(m.Upstream)
-	if isSimilar(e.limit, m.Notice.Limit) {
+	if known := l.limits[m.Upstream]; known == nil && m.Notice.Limit == 0 || known != nil && isSimilar(known.limit, m.Notice.Limit) {
 		return nil
 	}
+	e := l.entry(m.Upstream)
 	e.limit, e.changed = m.Notice.Limit, true
 	return append(l.scheduleWrite(now), l.announce()...)
 }
