platform, connector: check for an ended upstream with a new connection

Change: connector.Probe opens a connection and closes it. Result: TestHasEnded and TestEntryTrouble pass.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -81,6 +81,15 @@
 	return &Connection{Conn: conn, Reader: bufio.NewReaderSize(source, readBufferBytes), source: source, address: address}, nil
 }
 
+// Probe opens a connection to an address and closes it again.
+func (c *Connector) Probe(ctx context.Context, address string) error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "probe upstream at %s", address)
+	}
+	return conn.Close()
+}
+
 // LimitReads makes Reader fail with ErrReadLimit once n more bytes were read from
 // the network. UnlimitReads removes the limit.
 func (c *Connection) LimitReads(n int) { c.source.left = n }
