forwarder, reporter: log the fingerprint of quarantined requests

Cause: the line of a refused request had no fingerprint, so that an operator could not get from its id to the upstreams that ended; isQuarantined counted as well. Change: request ended has the fingerprints also with the outcome quarantined; the method is called reportEnded. No decision changes. Result: tests of the filters pass.

--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -159,7 +159,7 @@
 		result = message.UpstreamFailed{Connected: false}
 	}
 	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Route: f.x.Route.ID, Target: f.x.Request.TargetFingerprint(), Result: result})
-	if ended && f.isQuarantined(ctx, chosen.Upstream.ID) {
+	if ended && f.reportEnded(ctx, chosen.Upstream.ID) {
 		return finished{failure.New(failure.UpstreamFailed, "upstreams end while they have this request; it may have run")}
 	}
 	return next
@@ -176,9 +176,9 @@
 	return f.caller.HasEnded(ctx, u)
 }
 
-// isQuarantined counts an upstream that ended with the request and reports whether the
-// request must not be sent to another one.
-func (f *forwarding) isQuarantined(ctx context.Context, ended ident.UpstreamID) bool {
+// reportEnded reports an upstream that ended with the request to the control goroutine.
+// It returns true if the request must not be sent to another one.
+func (f *forwarding) reportEnded(ctx context.Context, ended ident.UpstreamID) bool {
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		return message.UpstreamEnded{
 			Ticket: t, Request: f.x.Request.ID, Upstream: ended,
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -47,6 +47,9 @@
 	line.Str("request", string(x.Request.ID)).Str("outcome", outcome).Int("status", x.Trace.Status).
 		Bool("caller_left", callerLeft).Dur("took_ms", totalTime)
 	r.describe(line, x)
+	if len(x.Trace.Failures) > 0 || failure.Is(err, failure.Quarantined) {
+		line.Str("fingerprint", string(x.Request.Fingerprint())).Str("target_fingerprint", string(x.Request.TargetFingerprint()))
+	}
 	line.Msg("request ended")
 	r.meter.ObserveExchange(class(x), outcome, x.Trace.FirstEvent, totalTime)
 	return err
@@ -72,7 +75,6 @@
 		line.Str("next_upstream", string(id))
 	}
 	if len(t.Failures) > 0 {
-		line.Str("fingerprint", string(x.Request.Fingerprint())).Str("target_fingerprint", string(x.Request.TargetFingerprint()))
 		line.Strs("failures", t.Failures)
 	}
 	line.Int("refusals", t.Refusals).Int("events", t.Events).Dur("upstreams_age_ms", t.ListAge)
