crashcounter, forwarder and others: say crash for an upstream that ends by itself

Cause: names said ended for calls, streams and upstreams alike; the usual term for the last is crash. No decision changes.

--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -1,8 +1,8 @@
 // Package crashcounter has the controller that counts, for all VMs together, the
-// upstreams that ended while they had a request.
+// upstreams that crashed while they had a request.
 //
-// A request that ends each upstream that runs it comes again at any VM, with another
-// id. Each VM writes a row for each of its calls whose upstream ended before it
+// A request that crashes each upstream that runs it comes again at any VM, with another
+// id. Each VM writes a row for each of its calls whose upstream crashed before it
 // answered, and all VMs watch these rows. A request that several upstreams have not
 // survived is quarantined; one that an upstream answers is cleared, since it only ran
 // beside another.
@@ -34,7 +34,7 @@
 )
 
 const (
-	// table has one row for each call whose upstream ended.
+	// table has one row for each call whose upstream crashed.
 	table rows.Table = "request_crashes"
 	// maxCrashes is the number of upstreams after which a request is quarantined. A
 	// sound request that is repeated beside the same poisonous one may meet two.
@@ -55,7 +55,7 @@
 	maxChanges = 90
 )
 
-// Crashcounter counts the upstreams that ended under requests.
+// Crashcounter counts the upstreams that crashed with requests.
 type Crashcounter struct {
 	reject    func(error)
 	retention time.Duration
@@ -70,7 +70,7 @@
 	recent   []ident.Fingerprint
 }
 
-// crash is one call whose upstream ended, under one of the fingerprints of its request.
+// crash is one call whose upstream crashed, under one of the fingerprints of its request.
 type crash struct {
 	upstream ident.UpstreamID
 	// byTarget is true if the fingerprint is that of the target.
@@ -113,7 +113,7 @@
 		if _, ok := m.Result.(message.UpstreamAnswered); ok {
 			c.remember(m.Target)
 		}
-	case message.UpstreamEnded:
+	case message.UpstreamCrashed:
 		return c.count(now, m)
 	case message.SuspectAnswered:
 		return c.forget(m.Fingerprint)
@@ -138,7 +138,7 @@
 }
 
 // count records a crash and answers whether the request is quarantined.
-func (c *Crashcounter) count(now time.Time, m message.UpstreamEnded) []effect.Effect {
+func (c *Crashcounter) count(now time.Time, m message.UpstreamCrashed) []effect.Effect {
 	call := strconv.FormatUint(xxhash.Sum64String(string(m.Request)+"/"+string(m.Upstream)), 16)
 	var t rows.Transaction
 	quarantined := false
@@ -297,8 +297,8 @@
 
 func rowID(key rows.Key) rows.ID { return rows.ID{Table: table, Key: key} }
 
-// suspect returns what is known of a request. Calls that ended together with the same
-// upstream count once. A target whose requests this VM has answered identifies none.
+// suspect returns what is known of a request. Calls that one crash of an
+// upstream broke count once. A target whose requests this VM has answered identifies none.
 func (c *Crashcounter) suspect(f ident.Fingerprint) snapshot.Suspect {
 	upstreams := map[ident.UpstreamID]bool{}
 	isIdentified := true
@@ -309,7 +309,7 @@
 	return snapshot.Suspect{Crashes: len(upstreams), Quarantined: isIdentified && len(upstreams) >= maxCrashes}
 }
 
-// Describe adds the requests under which upstreams ended to a snapshot.
+// Describe adds the requests with which upstreams crashed to a snapshot.
 func (c *Crashcounter) Describe(view *snapshot.Snapshot) {
 	if len(c.crashes) == 0 {
 		return
--- a/internal/crashcounter/crashcounter_test.go
+++ b/internal/crashcounter/crashcounter_test.go
@@ -75,9 +75,9 @@
 			all = append(all, message.CallEnded{Target: ident.Fingerprint(target), Result: message.UpstreamAnswered{}})
 		}
 		return all
-	case f.Has("ended"):
-		return []message.Message{message.UpstreamEnded{
-			Request: ident.RequestID(f["request"]), Upstream: ident.UpstreamID(f["ended"]),
+	case f.Has("crashed"):
+		return []message.Message{message.UpstreamCrashed{
+			Request: ident.RequestID(f["request"]), Upstream: ident.UpstreamID(f["crashed"]),
 			Target: ident.Fingerprint(f["target"]), Contents: ident.Fingerprint(f["contents"]),
 		}}
 	case f.Has("cleared"):
--- a/internal/entrylogger/entrylogger.go
+++ b/internal/entrylogger/entrylogger.go
@@ -62,9 +62,9 @@
 		if m.Err != nil {
 			e.log.Warn().Err(m.Err).Str("table", writtenTable(m.Transaction)).Msg("row of this VM not written")
 		}
-	case message.UpstreamEnded:
+	case message.UpstreamCrashed:
 		e.log.Warn().Str("request", string(m.Request)).Str("fingerprint", string(m.Contents)).Str("target_fingerprint", string(m.Target)).Str("upstream", string(m.Upstream)).
-			Msg("upstream ended with a request")
+			Msg("upstream crashed with a request")
 	case message.UpstreamNoticed:
 		if m.Notice.Leaving {
 			e.log.Info().Str("upstream", string(m.Upstream)).Msg("upstream says that it leaves")
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -154,34 +154,34 @@
 	f.reportNotice(chosen, answer)
 	f.broken = false
 	next, result := f.handle(ctx, started, answer)
-	ended := f.broken && f.hasEnded(ctx, chosen.Upstream)
-	if ended {
+	crashed := f.broken && f.isDown(ctx, chosen.Upstream)
+	if crashed {
 		result = message.UpstreamFailed{Connected: false}
 	}
 	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Route: f.x.Route.ID, Target: f.x.Request.TargetFingerprint(), Result: result})
-	if ended && f.reportEnded(ctx, chosen.Upstream.ID) {
-		return finished{failure.New(failure.UpstreamFailed, "upstreams end while they have this request; it may have run")}
+	if crashed && f.reportCrash(ctx, chosen.Upstream.ID) {
+		return finished{failure.New(failure.UpstreamFailed, "upstreams crash while they have this request; it may have run")}
 	}
 	return next
 }
 
-// endedTimeout bounds the check whether an upstream has ended. A host whose process
-// has ended refuses a connection within a round trip.
-const endedTimeout = 200 * time.Millisecond
+// downTimeout bounds the check whether an upstream is down. A host whose process
+// has crashed refuses a connection within a round trip.
+const downTimeout = 200 * time.Millisecond
 
-// hasEnded reports whether the process of an upstream has ended.
-func (f *forwarding) hasEnded(ctx context.Context, u upstream.Upstream) bool {
-	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+// isDown reports whether an upstream refuses connections.
+func (f *forwarding) isDown(ctx context.Context, u upstream.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, downTimeout)
 	defer cancel()
-	return f.caller.HasEnded(ctx, u)
+	return f.caller.IsDown(ctx, u)
 }
 
-// reportEnded reports an upstream that ended with the request to the control goroutine.
+// reportCrash reports an upstream that crashed with the request to the control goroutine.
 // It returns true if the request must not be sent to another one.
-func (f *forwarding) reportEnded(ctx context.Context, ended ident.UpstreamID) bool {
+func (f *forwarding) reportCrash(ctx context.Context, crashed ident.UpstreamID) bool {
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
-		return message.UpstreamEnded{
-			Ticket: t, Request: f.x.Request.ID, Upstream: ended,
+		return message.UpstreamCrashed{
+			Ticket: t, Request: f.x.Request.ID, Upstream: crashed,
 			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Request.Fingerprint(),
 		}
 	})
--- a/internal/filter/forwarder/forwarder_test.go
+++ b/internal/filter/forwarder/forwarder_test.go
@@ -65,7 +65,7 @@
 	return upstream.Complete{Status: status}
 }
 
-func (s *scriptedCaller) HasEnded(context.Context, upstream.Upstream) bool { return false }
+func (s *scriptedCaller) IsDown(context.Context, upstream.Upstream) bool { return false }
 
 type scriptedEvents struct {
 	next, last int
--- a/internal/filter/forwarder/limit_test.go
+++ b/internal/filter/forwarder/limit_test.go
@@ -98,7 +98,7 @@
 	return answer
 }
 
-func (limitCaller) HasEnded(context.Context, upstream.Upstream) bool { return false }
+func (limitCaller) IsDown(context.Context, upstream.Upstream) bool { return false }
 
 // slowStore is a store whose calls take time, and that refuses them while away.
 type slowStore struct {
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -113,8 +113,8 @@
 	return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
 }
 
-// HasEnded reports whether an upstream is down.
-func (f *poisonFleet) HasEnded(_ context.Context, u upstream.Upstream) bool {
+// IsDown reports whether an upstream is down.
+func (f *poisonFleet) IsDown(_ context.Context, u upstream.Upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return time.Since(f.start) < f.upstreams[u.ID].downUntil
--- a/internal/filter/quarantiner/quarantiner.go
+++ b/internal/filter/quarantiner/quarantiner.go
@@ -23,13 +23,13 @@
 	control *executor.Executor
 }
 
-// New returns the filter. The control goroutine counts the upstreams that ended.
+// New returns the filter. The control goroutine counts the upstreams that crashed.
 func New(control *executor.Executor) *Quarantiner {
 	return &Quarantiner{control: control}
 }
 
 // Serve refuses a quarantined request. A suspect that is answered is reported, since it
-// has not ended the upstream that ran it.
+// has not crashed the upstream that ran it.
 func (q *Quarantiner) Serve(ctx context.Context, x *traffic.Exchange, next traffic.Handler) error {
 	suspects := q.control.Snapshot().Entry.Suspects
 	if len(suspects) == 0 {
@@ -40,7 +40,7 @@
 		suspect, ok := suspects[f]
 		if suspect.Quarantined {
 			return failure.Refusal(failure.Quarantined, retryDelay,
-				"%d upstreams ended while they had this request; change it or ask the operator", suspect.Crashes)
+				"%d upstreams crashed while they had this request; change it or ask the operator", suspect.Crashes)
 		}
 		if ok {
 			matches = append(matches, f)
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -83,9 +83,9 @@
 	Limits map[ident.UpstreamID]unit.Rate
 }
 
-// UpstreamEnded reports that an upstream ended while it had a call, before it answered.
+// UpstreamCrashed reports that an upstream crashed while it had a call, before it answered.
 // Answered with outcome.CrashCounted.
-type UpstreamEnded struct {
+type UpstreamCrashed struct {
 	Ticket   ident.Ticket
 	Request  ident.RequestID
 	Upstream ident.UpstreamID
@@ -96,7 +96,7 @@
 }
 
 // SuspectAnswered reports that an upstream answered a request with a fingerprint under
-// which other upstreams had ended.
+// which other upstreams had crashed.
 type SuspectAnswered struct{ Fingerprint ident.Fingerprint }
 
 // ChooseUpstream requests an upstream for a call. Answered with outcome.UpstreamChosen or
@@ -168,5 +168,5 @@
 func (UpstreamLimitsChanged) sealed() {}
 func (ChooseUpstream) sealed()        {}
 func (CallEnded) sealed()             {}
-func (UpstreamEnded) sealed()         {}
+func (UpstreamCrashed) sealed()       {}
 func (SuspectAnswered) sealed()       {}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -61,7 +61,7 @@
 	Cached unit.Tokens
 }
 
-// CrashCounted confirms that the end of an upstream was counted.
+// CrashCounted confirms that the crash of an upstream was counted.
 type CrashCounted struct {
 	// Quarantined is true if the request must not be sent to further upstreams.
 	Quarantined bool
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -32,16 +32,16 @@
 	// missing from the newest list are retained.
 	UpstreamList  *upstream.List
 	UpstreamsAsOf time.Time
-	// Suspects has the requests with which upstreams ended, nil if there is none.
+	// Suspects has the requests with which upstreams crashed, nil if there is none.
 	Suspects map[ident.Fingerprint]Suspect
 	// Leaving is true from the shutdown request, received at LeavingSince.
 	Leaving      bool
 	LeavingSince time.Time
 }
 
-// Suspect is a request with which upstreams ended.
+// Suspect is a request with which upstreams crashed.
 type Suspect struct {
-	// Crashes is the number of upstreams that ended.
+	// Crashes is the number of upstreams that crashed.
 	Crashes int
 	// Quarantined is true if the request must not be sent to further upstreams.
 	Quarantined bool
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -112,7 +112,7 @@
 // Caller sends calls to upstreams. It does not retry them.
 type Caller interface {
 	Call(ctx context.Context, c Call) Answer
-	// HasEnded reports whether an upstream refuses connections, as it does once its
-	// process has ended.
-	HasEnded(ctx context.Context, u Upstream) bool
+	// IsDown reports whether an upstream refuses connections, as it does once its
+	// process has crashed.
+	IsDown(ctx context.Context, u Upstream) bool
 }
