balancer: wait when a VM begins to share a limit again

Cause: while other VMs shared a limit, the time of this VM's next request was set to the present, so that it sent one at once each time that it began to share again. Change: a VM that begins to share a limit waits for a random part of its interval, and not less than before. Result: TestRequestLimits with six changes in 3 s under a limit of 0.1 requests a second: six calls before, none after; its other lines are unchanged.

--- a/internal/balancer/allowance.go
+++ b/internal/balancer/allowance.go
@@ -32,11 +32,10 @@
 	nextAt time.Time
 }
 
-// newAllowance returns an allowance whose first request may be sent after a random
-// part of its interval, since the VMs that share a limit learn of it together.
+// newAllowance returns an allowance. Its first request waits as after setRate.
 func newAllowance(now time.Time, rate unit.Rate, random *rand.Rand) *allowance {
-	a := &allowance{rate: rate}
-	a.nextAt = now.Add(time.Duration(random.Float64() * float64(a.interval())))
+	a := &allowance{}
+	a.setRate(now, rate, random)
 	return a
 }
 
@@ -48,13 +47,30 @@
 	return time.Duration(float64(time.Second) / float64(a.rate))
 }
 
-// setRate changes the rate. The next request need not wait longer than the new
-// interval.
-func (a *allowance) setRate(now time.Time, rate unit.Rate) {
+// setRate changes the rate. A VM that begins to share the limit waits for a random part
+// of its interval, since the VMs that share a limit learn of it together. Otherwise the
+// next request need not wait longer than the new interval.
+func (a *allowance) setRate(now time.Time, rate unit.Rate, random *rand.Rand) {
+	begins := a.rate <= 0
 	a.rate = rate
-	if next := now.Add(a.interval()); next.Before(a.nextAt) {
-		a.nextAt = next
+	switch {
+	case rate <= 0:
+	case begins:
+		first := now.Add(time.Duration(random.Float64() * float64(a.interval())))
+		a.nextAt = later(a.nextAt, first)
+	default:
+		if next := now.Add(a.interval()); next.Before(a.nextAt) {
+			a.nextAt = next
+		}
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // allows reports whether a request may be sent now. An upstream without a limit has a
@@ -80,7 +96,7 @@
 		case !limited:
 			s.allowance = nil
 		case s.allowance != nil:
-			s.allowance.setRate(now, b.share(s, limit))
+			s.allowance.setRate(now, b.share(s, limit), b.random)
 		}
 	}
 	b.addAllowances(now)
