--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -3,8 +3,8 @@
 //
 // A request that crashes each upstream that runs it comes again at any VM, with another
 // id. Each VM writes a row for each of its calls whose upstream crashed before it
-// answered, and all VMs watch these rows. A request that several upstreams have not
-// survived is quarantined; one that an upstream answers is cleared, since it only ran
+// answered, and all VMs watch these rows. A request with which several upstreams
+// crashed is quarantined; one that an upstream answers is cleared, since it only ran
 // beside another.
 //
 // A repeat may have another body, since the prompt of a later turn begins with that of
--- a/internal/crashcounter/crashcounter_test.go
+++ b/internal/crashcounter/crashcounter_test.go
@@ -136,7 +136,7 @@
 	return ""
 }
 
-// TestCrashcounter guards against a request that ends upstreams at several VMs and is
+// TestCrashcounter guards against a request that crashes upstreams at several VMs and is
 // not recognized, against sound requests that are quarantined since they share a target
 // with others or ran beside a poisonous one, and against counts that are lost while the
 // store is away, or that stay forever.
--- a/internal/filter/quarantiner/quarantiner.go
+++ b/internal/filter/quarantiner/quarantiner.go
@@ -1,5 +1,5 @@
-// Package quarantiner has the filter that refuses requests that several upstreams have
-// not survived.
+// Package quarantiner has the filter that refuses requests with which several
+// upstreams crashed.
 package quarantiner
 
 import (
