--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -26,6 +26,14 @@
 	mu      sync.Mutex
 	runs    map[string]string
 	leaving bool
+	limit   string
+}
+
+// SetLimit sets the request limit that the answers name, empty for none.
+func (e *Engine) SetLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
 }
 
 // StartEngines starts model replicas of a service, spread over the zones in turn.
@@ -118,8 +126,11 @@
 	id := r.Header.Get("X-Attempt-Id")
 	e.mu.Lock()
 	e.runs[id] = string(body)
-	leaving := e.leaving
+	leaving, limit := e.leaving, e.limit
 	e.mu.Unlock()
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 		w.Header().Set("Connection", "close")
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -436,3 +436,15 @@
 	}
 	return fmt.Errorf("the entry VMs did not become ready; the log of the first: %s", l.VMs[0].Log())
 }
+
+// Ended reports whether the process of a VM has ended by itself.
+func (v *VM) Ended() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process == nil {
+		return false
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", v.process.Process.Pid))
+	_, state, ok := strings.Cut(string(text), ") ")
+	return err == nil && ok && strings.HasPrefix(state, "Z")
+}
