--- a/review/1/main.go
+++ b/review/1/main.go
@@ -21,7 +21,7 @@
 	events   = 17
 	gap      = 8 * time.Millisecond
 	first    = 100 * time.Millisecond
-	callers  = 60
+	callers  = 120
 	pause    = 100 * time.Millisecond
 	// calm is the time before the replica names its limit, named the time for which it
 	// does.
@@ -61,7 +61,7 @@
 	}
 	time.Sleep(5 * time.Second)
 
-	s := &session{lab: l, sound: engines[1:], cut: map[string]int{}, ends: map[string]int{}}
+	s := &session{lab: l, sound: engines[1:], cut: map[string]int{}, ends: map[string]int{}, firstEnd: map[string]time.Time{}}
 	s.end = time.Now().Add(calm + named)
 	var all sync.WaitGroup
 	for i := range callers {
@@ -88,8 +88,10 @@
 	// ran at a sound replica and whose kept channel was closed without an answer.
 	answered int
 	cut      map[string]int
-	// ends counts how often the process of each VM ended by itself.
-	ends map[string]int
+	// ends counts how often the process of each VM ended by itself, and firstEnd has the
+	// time at which that was first seen.
+	ends     map[string]int
+	firstEnd map[string]time.Time
 }
 
 // restartEnded starts processes again that have ended, as the platform does.
@@ -102,6 +104,9 @@
 			s.mu.Lock()
 			s.ends[v.Name]++
 			times := s.ends[v.Name]
+			if times == 1 {
+				s.firstEnd[v.Name] = time.Now()
+			}
 			s.mu.Unlock()
 			s.lab.Note("the process of %s has ended by itself, time %d", v.Name, times)
 			if _, reason, ok := strings.Cut(v.Log(), "panic: "); ok && times == 1 {
@@ -159,7 +164,9 @@
 		s.answered++
 		return
 	}
-	if !kept || got.Status != 0 || got.Took > 5*time.Second {
+	// Only the first end of a process counts, before which the VM was in touch.
+	first, ended := s.firstEnd[at]
+	if !kept || got.Status != 0 || got.Took > 5*time.Second || ended && time.Since(first) > restartDelay {
 		return
 	}
 	for _, e := range s.sound {
