--- a/review/1/main.go
+++ b/review/1/main.go
@@ -26,7 +26,7 @@
 	// calm is the time before the replica names its limit, named the time for which it
 	// does.
 	calm  = 6 * time.Second
-	named = 8 * time.Second
+	named = 5 * time.Second
 	// restartDelay is the time after which the platform starts a process again that has
 	// ended.
 	restartDelay = 300 * time.Millisecond
