--- a/internal/balancer/allowance.go
+++ b/internal/balancer/allowance.go
@@ -23,6 +23,10 @@
 // upstream gets at most six times its limit and one request.
 const holdersPerRate = 2
 
+// maxInterval bounds the time between two requests. The interval of a rate close to 0
+// exceeds a duration.
+const maxInterval = time.Hour
+
 // allowance is this VM's share of the request limit of an upstream. It is used at even
 // intervals.
 type allowance struct {
@@ -44,7 +48,7 @@
 	if a.rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(time.Second) / float64(a.rate))
+	return time.Duration(min(float64(time.Second)/float64(a.rate), float64(maxInterval)))
 }
 
 // setRate changes the rate. A VM that begins to share the limit waits for a random part
@@ -117,9 +121,10 @@
 		// The first list of entry VMs has not been read.
 		return limit
 	}
-	holders := min(1+int(math.Floor(holdersPerRate*float64(limit))), len(b.serving))
+	// The minimum is taken before the conversion: a large limit exceeds an int.
+	holders := min(1+math.Floor(holdersPerRate*float64(limit)), float64(len(b.serving)))
 	var own, sum unit.Ratio
-	for _, h := range b.nearest(s)[:holders] {
+	for _, h := range b.nearest(s)[:int(holders)] {
 		sum += h.weight
 		if h.vm == b.location.VM {
 			own = h.weight
--- a/internal/balancer/notice_test.go
+++ b/internal/balancer/notice_test.go
@@ -73,6 +73,12 @@
 	NewWithT(t).Expect(goldentest.Check("testdata/limits/*.txtar", newNoticeDecider())).To(Succeed())
 }
 
+// TestExtremeRequestLimits guards against a process that ends with a panic because the
+// limit of one upstream exceeds an integer, and against an interval that overflows.
+func TestExtremeRequestLimits(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/extreme/*.txtar", newNoticeDecider())).To(Succeed())
+}
+
 // TestLeavingNotice guards against calls to an upstream that has said in an answer that
 // it leaves, which the platform's list may tell late or never, and against an upstream
 // that stays unused after its process has started again.
