escrow: refuse a turn that is larger than the budget before any sum

A turn that states output tokens was refused after 1.35 s as if the store were away, and wrote an overflowed balance, after which another VM granted the whole budget again.

Cause: the sum of what the program has spent and the tokens of the turn overflows an int64 and is negative, so that the budget appears to cover it.

Change: a turn that needs more than the whole budget is refused at once. The balance of a program can never cover it, so no other turn is decided differently.

Evidence: TestOversizedTurn failed before, since the budget was granted a second time, and passes.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -159,6 +159,10 @@
 
 // Take grants a turn. An error is a refusal: the turn did not run.
 func (e *Escrow) Take(ctx context.Context, r Request) (Grant, error) {
+	if r.MaxTokens > r.Budget {
+		// No balance can cover it, and sums with it may overflow.
+		return Grant{}, refusal(r, reservation{}, balance{})
+	}
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	for {
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -347,3 +348,21 @@
 	g.Expect(commits).To(BeNumerically("<=", turns/2))
 	g.Expect(reads).To(Equal(0))
 }
+
+// TestOversizedTurn guards against a turn whose number of tokens overflows the sum with
+// what its program has spent: it is refused late, as if the store were away, and the
+// stored balance is wrong, so that other VMs grant the budget again.
+func TestOversizedTurn(t *testing.T) {
+	g := NewWithT(t)
+	store := rowstore.New()
+	take := func(vm *escrow.Escrow, tokens unit.Tokens) error {
+		_, err := vm.Take(t.Context(), escrow.Request{Program: "program", Budget: budget, MaxTokens: tokens})
+		return err
+	}
+	vm, other := escrow.New(t.Context(), store, timer.New()), escrow.New(t.Context(), store, timer.New())
+	g.Expect(take(vm, budget/2)).To(Succeed())
+	oversized := take(vm, math.MaxInt64)
+	g.Expect(take(other, budget/4)).To(Succeed())
+	g.Expect(failure.Is(take(other, budget), failure.BudgetExhausted)).To(BeTrue())
+	g.Expect(failure.Is(oversized, failure.BudgetExhausted)).To(BeTrue(), "%v", oversized)
+}
