--- a/ident/ident.go
+++ b/ident/ident.go
@@ -43,6 +43,9 @@
 	Epoch uint64
 	// Version counts the changes of a row or of the configuration.
 	Version uint64
+	// Incarnation identifies one start of an upstream, which may start again under its
+	// id. A later start has a higher one; 0 is an unknown one.
+	Incarnation uint64
 	// Sequence numbers the transactions that record changes of a program tree,
 	// from 1.
 	Sequence uint64
@@ -74,3 +77,9 @@
 func (p ProgramID) Child(n int) ProgramID {
 	return ProgramID(string(p) + childSeparator + strconv.Itoa(n))
 }
+
+// Replaces reports whether i is known to be a later start than other.
+func (i Incarnation) Replaces(other Incarnation) bool { return other > 0 && i > other }
+
+// Differs reports whether i and other are known to be different starts.
+func (i Incarnation) Differs(other Incarnation) bool { return i > 0 && other > 0 && i != other }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -88,7 +88,7 @@
 // handleCallEnded updates the estimates after a call has released its upstream.
 func (b *Balancer) handleCallEnded(now time.Time, m message.CallEnded) {
 	s, ok := b.byID[m.Upstream]
-	if !ok {
+	if !ok || s.Incarnation.Differs(m.Incarnation) {
 		return
 	}
 	expected := b.expectedFirstByte(m.Route)
@@ -110,7 +110,7 @@
 }
 
 // setUpstreams replaces the list of upstreams. The state of an upstream is kept
-// while its address is unchanged. Calls may still be in flight at an upstream
+// while its address and incarnation are unchanged. Calls may still be in flight at an upstream
 // that is no longer listed.
 func (b *Balancer) setUpstreams(m message.UpstreamsRead) {
 	b.asOf = m.AsOf
@@ -118,7 +118,7 @@
 	byID := map[ident.UpstreamID]*upstreamState{}
 	for _, u := range m.Upstreams {
 		s, ok := b.byID[u.ID]
-		if !ok || s.Address != u.Address {
+		if !ok || s.Address != u.Address || s.Incarnation.Differs(u.Incarnation) {
 			s = &upstreamState{relativeLatency: 1}
 		}
 		s.Upstream = u
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -43,7 +44,9 @@
 			if id == "last" {
 				id = last
 			}
-			b.Handle(now, message.CallEnded{Upstream: ident.UpstreamID(id), Route: ident.RouteID(f["route"]), Result: result(f)})
+			b.Handle(now, message.CallEnded{
+				Upstream: ident.UpstreamID(id), Incarnation: parseIncarnation(f["of"]), Route: ident.RouteID(f["route"]), Result: result(f),
+			})
 			return ""
 		}
 		decision := choose(b, now, f)
@@ -52,19 +55,30 @@
 	}
 }
 
-// listed parses a list of upstreams, each written as id@domain, with a final "!"
-// if it is leaving.
+// listed parses a list of upstreams, each written as id@domain, followed by "#" and its
+// incarnation if that is known, with a final "!" if it is leaving.
 func listed(now time.Time, text string) message.UpstreamsRead {
 	m := message.UpstreamsRead{AsOf: now}
 	for _, entry := range strings.Split(text, ",") {
-		id, domain, _ := strings.Cut(strings.TrimSuffix(entry, "!"), "@")
+		id, rest, _ := strings.Cut(strings.TrimSuffix(entry, "!"), "@")
+		domain, incarnation, _ := strings.Cut(rest, "#")
 		m.Upstreams = append(m.Upstreams, upstream.Upstream{
-			ID: ident.UpstreamID(id), Pool: "pool", Domain: ident.Domain(domain), Leaving: strings.HasSuffix(entry, "!"),
+			ID: ident.UpstreamID(id), Pool: "pool", Domain: ident.Domain(domain), Incarnation: parseIncarnation(incarnation),
+			Leaving: strings.HasSuffix(entry, "!"),
 		})
 	}
 	return m
 }
 
+// parseIncarnation returns 0, for unknown, if the text has none.
+func parseIncarnation(text string) ident.Incarnation {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return ident.Incarnation(n)
+}
+
 func result(f goldentest.Fields) message.UpstreamResult {
 	switch f["result"] {
 	case "refused":
--- a/internal/balancer/notice_test.go
+++ b/internal/balancer/notice_test.go
@@ -13,6 +13,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
 	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
+	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
@@ -41,7 +42,9 @@
 			}
 			b.Handle(now, message.UpstreamLimitsChanged{Limits: limits})
 		case f.Has("notice"):
-			b.Handle(now, message.UpstreamNoticed{Upstream: ident.UpstreamID(f["notice"]), Notice: upstream.Notice{Leaving: f.Has("leaving")}})
+			b.Handle(now, message.UpstreamNoticed{
+				Upstream: ident.UpstreamID(f["notice"]), Incarnation: parseIncarnation(f["of"]), Notice: upstream.Notice{Leaving: f.Has("leaving")},
+			})
 		case f.Has("serving"):
 			var m message.MembersListed
 			for _, word := range strings.Split(f["serving"], ",") {
@@ -49,6 +52,11 @@
 				m.Serving = append(m.Serving, snapshot.Member{VM: ident.VMID(vm), Domain: ident.Domain(domain)})
 			}
 			b.Handle(now, m)
+		case f.Has("connections"):
+			pools := []routing.Pool{{ID: "pool", Connections: f.Int("connections")}}
+			b.Handle(now, message.RoutesChanged{Table: routing.New(1, nil, pools, routing.Limits{})})
+		case f.Has("ended"):
+			b.Handle(now, message.CallEnded{Upstream: ident.UpstreamID(f["ended"]), Incarnation: parseIncarnation(f["of"]), Result: result(f)})
 		case f.Has("calls"):
 			chosen := map[string]int{}
 			for range f.Int("calls") {
@@ -85,3 +93,12 @@
 func TestLeavingNotice(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/leaving/*.txtar", newNoticeDecider())).To(Succeed())
 }
+
+// TestRestartInPlace guards against an upstream that has started again under its id and
+// is taken for the process before: it gets no calls because that one left, or fewer
+// because that one failed or had calls under way.
+func TestRestartInPlace(t *testing.T) {
+	for _, table := range []string{"leaving", "state"} {
+		NewWithT(t).Expect(goldentest.Check("testdata/restart/"+table+".txtar", newNoticeDecider())).To(Succeed())
+	}
+}
--- a/internal/entrylogger/entrylogger.go
+++ b/internal/entrylogger/entrylogger.go
@@ -67,7 +67,7 @@
 			Msg("upstream crashed with a request")
 	case message.UpstreamNoticed:
 		if m.Notice.Leaving {
-			e.log.Info().Str("upstream", string(m.Upstream)).Msg("upstream says that it leaves")
+			e.log.Info().Str("upstream", string(m.Upstream)).Uint64("incarnation", uint64(m.Incarnation)).Msg("upstream says that it leaves")
 		}
 	case message.UpstreamLimitsChanged:
 		e.logLimitChanges(m)
@@ -83,7 +83,7 @@
 		switch {
 		case !listedBefore:
 			e.upstreamEvent(now, m, u).Msg("upstream listed")
-		case before.Leaving != u.Leaving || before.Address != u.Address || before.Pool != u.Pool:
+		case before.Leaving != u.Leaving || before.Address != u.Address || before.Pool != u.Pool || before.Incarnation != u.Incarnation:
 			e.upstreamEvent(now, m, u).Msg("upstream changed")
 		}
 	}
@@ -97,7 +97,7 @@
 
 func (e *Entrylogger) upstreamEvent(now time.Time, m message.UpstreamsRead, u upstream.Upstream) *zerolog.Event {
 	return e.log.Info().Str("upstream", string(u.ID)).Str("pool", string(u.Pool)).Str("address", u.Address).
-		Bool("leaving", u.Leaving).Dur("age_ms", now.Sub(m.AsOf))
+		Uint64("incarnation", uint64(u.Incarnation)).Bool("leaving", u.Leaving).Dur("age_ms", now.Sub(m.AsOf))
 }
 
 // logLimitChanges logs the request limits that were added, changed or removed.
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -158,7 +158,10 @@
 	if crashed {
 		result = message.UpstreamFailed{Connected: false}
 	}
-	f.control.Post(message.CallEnded{Upstream: chosen.Upstream.ID, Route: f.x.Route.ID, Target: f.x.Request.TargetFingerprint(), Result: result})
+	f.control.Post(message.CallEnded{
+		Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
+		Target: f.x.Request.TargetFingerprint(), Result: result,
+	})
 	if crashed && f.reportCrash(ctx, chosen.Upstream.ID) {
 		return finished{failure.New(failure.UpstreamFailed, "upstreams crash while they have this request; it may have run")}
 	}
@@ -209,7 +212,7 @@
 	}
 	f.x.Trace.UpstreamLimit = notice.Limit
 	if notice.Limit != chosen.Limit || notice.Leaving {
-		f.control.Post(message.UpstreamNoticed{Upstream: chosen.Upstream.ID, Notice: notice})
+		f.control.Post(message.UpstreamNoticed{Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Notice: notice})
 	}
 }
 
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -75,7 +75,9 @@
 // from what was known when the call was sent.
 type UpstreamNoticed struct {
 	Upstream ident.UpstreamID
-	Notice   upstream.Notice
+	// Incarnation is the start of the upstream that was known when the call was sent.
+	Incarnation ident.Incarnation
+	Notice      upstream.Notice
 }
 
 // UpstreamLimitsChanged reports the request limits of all limited upstreams.
@@ -150,7 +152,9 @@
 // CallEnded reports that a call no longer uses its upstream.
 type CallEnded struct {
 	Upstream ident.UpstreamID
-	Route    ident.RouteID
+	// Incarnation is the start of the upstream that was known when the call was sent.
+	Incarnation ident.Incarnation
+	Route       ident.RouteID
 	// Target is the fingerprint of the request's target.
 	Target ident.Fingerprint
 	Result UpstreamResult
--- a/internal/upstream/list.go
+++ b/internal/upstream/list.go
@@ -113,7 +113,7 @@
 // hash returns the hash of one upstream. The digest of a list is the XOR of the
 // hashes of its upstreams.
 func (u Upstream) hash() Digest {
-	return Digest(xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %t", u.ID, u.Pool, u.Address, u.Domain, u.Slots, u.Leaving)))
+	return Digest(xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %d %t", u.ID, u.Pool, u.Address, u.Domain, u.Incarnation, u.Slots, u.Leaving)))
 }
 
 // Digest returns the digest of the list's contents.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,8 @@
 	Pool    ident.PoolID     `json:"pool"`
 	Address string           `json:"address"`
 	Domain  ident.Domain     `json:"domain"`
+	// Incarnation is the start of the upstream that registered.
+	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int `json:"slots"`
 	// Leaving is true if the upstream must get no new work.
