limitsharer: end a limit when its upstream starts again

An upstream that starts again under its id gets the share of calls that the process before allowed, until some VM has had an answer of the new process: with a limit of 0.1 requests a second after 10 s or more.

Cause: limits are kept, and stored in rows, by the id alone.

Change: an entry and its row name the incarnation that stated the limit. A VM whose list has a later one ends the limit and removes the row; answers of a process that has been replaced are ignored. A row that is newer than the list of the VM stays.

Evidence: TestLimitAfterRestart fails with incarnations ignored (the limit stays) and passes; TestLimitsharer and TestUpstreamLimit pass unchanged.

--- a/internal/limitsharer/limitsharer.go
+++ b/internal/limitsharer/limitsharer.go
@@ -54,12 +54,16 @@
 	// writer schedules the next write of changes.
 	writer pacer.Pacer
 	limits map[ident.UpstreamID]*entry
+	// listed has the incarnations of the listed upstreams.
+	listed map[ident.UpstreamID]ident.Incarnation
 }
 
 // entry is what the VM knows of the limit of one upstream.
 type entry struct {
 	// limit is 0 if the upstream is not limited.
 	limit unit.Rate
+	// incarnation is the start of the upstream that stated the limit.
+	incarnation ident.Incarnation
 	// version is that of the row, 0 if there is none.
 	version rows.Version
 	// changed is true if the row differs from what this VM has learned since.
@@ -71,7 +75,8 @@
 
 // limitRow is the stored form of a limit.
 type limitRow struct {
-	RequestsPerSecond unit.Rate `json:"requests_per_second"`
+	RequestsPerSecond unit.Rate         `json:"requests_per_second"`
+	Incarnation       ident.Incarnation `json:"incarnation,omitempty"`
 }
 
 // New returns the controller. The seed is that of the random delays of writes. Rows
@@ -87,7 +92,7 @@
 func (l *Limitsharer) Handle(now time.Time, m message.Message) []effect.Effect {
 	update, effects := l.watcher.Handle(now, m)
 	if update != nil {
-		return append(effects, l.handleRows(*update)...)
+		return append(effects, l.handleRows(now, *update)...)
 	}
 	switch m := m.(type) {
 	case message.Tick:
@@ -101,24 +106,31 @@
 	case message.UpstreamNoticed:
 		return l.handleNotice(now, m)
 	case message.UpstreamsRead:
-		return l.expire(now, m)
+		return l.handleList(now, m)
 	}
 	return effects
 }
 
 // handleNotice applies what an upstream stated in an answer to this VM.
 func (l *Limitsharer) handleNotice(now time.Time, m message.UpstreamNoticed) []effect.Effect {
-	if known := l.limits[m.Upstream]; known == nil && m.Notice.Limit == 0 || known != nil && isSimilar(known.limit, m.Notice.Limit) {
+	known := l.limits[m.Upstream]
+	switch {
+	case l.listed[m.Upstream].Replaces(m.Incarnation):
+		// A late answer of a process that has ended.
+		return nil
+	case known == nil && m.Notice.Limit == 0:
+		return nil
+	case known != nil && isSimilar(known.limit, m.Notice.Limit) && !m.Incarnation.Replaces(known.incarnation):
 		return nil
 	}
 	e := l.entry(m.Upstream)
-	e.limit, e.changed = m.Notice.Limit, true
+	e.limit, e.incarnation, e.changed = m.Notice.Limit, m.Incarnation, true
 	return append(l.scheduleWrite(now), l.announce()...)
 }
 
 // handleRows applies rows of the store, which go before what this VM has learned
 // itself: if they are older, the next answer of the upstream corrects them.
-func (l *Limitsharer) handleRows(u rowwatcher.Update) []effect.Effect {
+func (l *Limitsharer) handleRows(now time.Time, u rowwatcher.Update) []effect.Effect {
 	before := l.known()
 	if u.Complete {
 		l.forgetRows(u.Page)
@@ -129,15 +141,19 @@
 			l.reject(errors.Errorf("row of the request limit of upstream %s can't be used: %s", row.Key, row.Value))
 			continue
 		}
-		*l.entry(ident.UpstreamID(row.Key)) = entry{limit: stored.RequestsPerSecond, version: row.Version}
+		*l.entry(ident.UpstreamID(row.Key)) = entry{limit: stored.RequestsPerSecond, incarnation: stored.Incarnation, version: row.Version}
 	}
 	for _, id := range u.Removed {
 		delete(l.limits, ident.UpstreamID(id.Key))
 	}
+	var effects []effect.Effect
+	if l.endReplaced() {
+		effects = l.scheduleWrite(now)
+	}
 	if maps.Equal(before, l.known()) {
-		return nil
+		return effects
 	}
-	return l.announce()
+	return append(effects, l.announce()...)
 }
 
 // forgetRows forgets the limits that others have removed from the table. Those that
@@ -170,7 +186,7 @@
 		case e.limit == 0:
 			t.Removes = append(t.Removes, rowID(id))
 		default:
-			value, err := json.Marshal(limitRow{RequestsPerSecond: e.limit})
+			value, err := json.Marshal(limitRow{RequestsPerSecond: e.limit, Incarnation: e.incarnation})
 			if err != nil {
 				// Unreachable: limits are finite numbers.
 				l.reject(errors.Annotatef(err, "encode the request limit of upstream %s", id))
@@ -223,32 +239,43 @@
 	}
 }
 
-// expire ends the limits of upstreams that are no longer listed.
-func (l *Limitsharer) expire(now time.Time, m message.UpstreamsRead) []effect.Effect {
-	if len(l.limits) == 0 {
-		return nil
-	}
-	listed := make(map[ident.UpstreamID]bool, len(m.Upstreams))
+// handleList ends the limits of upstreams that are no longer listed, and of those that
+// have started again.
+func (l *Limitsharer) handleList(now time.Time, m message.UpstreamsRead) []effect.Effect {
+	l.listed = make(map[ident.UpstreamID]ident.Incarnation, len(m.Upstreams))
 	for _, u := range m.Upstreams {
-		listed[u.ID] = true
+		l.listed[u.ID] = u.Incarnation
 	}
-	expired := false
+	ended := l.endReplaced()
 	for id, e := range l.limits {
+		_, listed := l.listed[id]
 		switch {
-		case listed[id]:
+		case listed:
 			e.unlistedSince = time.Time{}
 		case e.unlistedSince.IsZero():
 			e.unlistedSince = now
 		case now.Sub(e.unlistedSince) > retention && e.limit > 0:
-			e.limit, e.changed, expired = 0, true, true
+			e.limit, e.changed, ended = 0, true, true
 		}
 	}
-	if !expired {
+	if !ended {
 		return nil
 	}
 	return append(l.scheduleWrite(now), l.announce()...)
 }
 
+// endReplaced ends the limits that were stated before their upstream started again. It
+// reports whether there are any.
+func (l *Limitsharer) endReplaced() bool {
+	ended := false
+	for id, e := range l.limits {
+		if e.limit > 0 && l.listed[id].Replaces(e.incarnation) {
+			e.limit, e.changed, ended = 0, true, true
+		}
+	}
+	return ended
+}
+
 func (l *Limitsharer) entry(id ident.UpstreamID) *entry {
 	if l.limits[id] == nil {
 		l.limits[id] = &entry{}
--- a/internal/limitsharer/limitsharer_test.go
+++ b/internal/limitsharer/limitsharer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -36,7 +37,9 @@
 		case f.Has("start"):
 			m = message.Started{}
 		case f.Has("notice"):
-			m = message.UpstreamNoticed{Upstream: ident.UpstreamID(f["notice"]), Notice: upstream.Notice{Limit: unit.Rate(f.Float("limit"))}}
+			m = message.UpstreamNoticed{
+				Upstream: ident.UpstreamID(f["notice"]), Incarnation: ident.Incarnation(f.Int("of")), Notice: upstream.Notice{Limit: unit.Rate(f.Float("limit"))},
+			}
 		case f.Has("read"):
 			m = message.RowsRead{Range: rows.Range{Table: table}, Page: page(f, f["read"]), Err: readError(f)}
 		case f.Has("watched"):
@@ -67,7 +70,8 @@
 	return nil
 }
 
-// page parses rows written as upstream:limit@version, or -upstream for a removed one.
+// page parses rows written as upstream:limit@version, or -upstream for a removed one. The
+// limit may be followed by "#" and the incarnation of the upstream.
 func page(f goldentest.Fields, text string) rows.Page {
 	p := rows.Page{Version: rows.Version(f.Int("version"))}
 	for _, word := range strings.Split(text, ",") {
@@ -80,7 +84,11 @@
 			continue
 		}
 		limit, version, _ := strings.Cut(rest, "@")
-		row := rows.Row{ID: rows.ID{Table: table, Key: rows.Key(id)}, Value: []byte(fmt.Sprintf(`{"requests_per_second":%s}`, limit))}
+		value := fmt.Sprintf(`{"requests_per_second":%s}`, limit)
+		if limit, incarnation, known := strings.Cut(limit, "#"); known {
+			value = fmt.Sprintf(`{"requests_per_second":%s,"incarnation":%s}`, limit, incarnation)
+		}
+		row := rows.Row{ID: rows.ID{Table: table, Key: rows.Key(id)}, Value: []byte(value)}
 		if _, err := fmt.Sscan(version, &row.Version); err != nil {
 			panic(err)
 		}
@@ -102,10 +110,17 @@
 	return m
 }
 
+// listed parses a list of upstreams, each followed by "#" and its incarnation if that is
+// known.
 func listed(text string) message.Message {
 	var m message.UpstreamsRead
-	for _, id := range strings.Split(text, ",") {
-		m.Upstreams = append(m.Upstreams, upstream.Upstream{ID: ident.UpstreamID(id)})
+	for _, word := range strings.Split(text, ",") {
+		id, incarnation, _ := strings.Cut(word, "#")
+		u := upstream.Upstream{ID: ident.UpstreamID(id)}
+		if n, err := strconv.ParseUint(incarnation, 10, 64); err == nil {
+			u.Incarnation = ident.Incarnation(n)
+		}
+		m.Upstreams = append(m.Upstreams, u)
 	}
 	return m
 }
@@ -147,3 +162,9 @@
 func TestLimitsharer(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", newDecider())).To(Succeed())
 }
+
+// TestLimitAfterRestart guards against an upstream that has started again under its id
+// and gets few calls because the process before named a limit.
+func TestLimitAfterRestart(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/restart/*.txtar", newDecider())).To(Succeed())
+}
