--- a/chain.go
+++ b/chain.go
@@ -55,9 +55,10 @@
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
 		routematcher.New(n.control.Snapshot),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
-		quarantiner.New(n.control),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
+		// A request is recognized by its whole body, which the turnrecorder composes.
+		quarantiner.New(n.control),
 		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers),
 	)
 }
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -185,7 +185,7 @@
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		return message.UpstreamCrashed{
 			Ticket: t, Request: f.x.Request.ID, Upstream: crashed,
-			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Request.Fingerprint(),
+			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Fingerprint(),
 		}
 	})
 	if err != nil {
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -47,6 +47,8 @@
 	poisonLimit   = 3
 	poisonRetries = 3
 	poisonGrace   = 4 * time.Second
+	// crashTime is the time at which several upstreams end together.
+	crashTime = 8 * time.Second
 	// poisonCopies is the number of times that a caller sends a request that fails,
 	// with poisonPause between two of them.
 	poisonCopies = 6
@@ -168,8 +170,12 @@
 	}
 	var requestID atomic.Int64
 	send := func(vm int, body string) *failure.Error {
+		input := body
+		if line.Has("common_input") {
+			input = "yes"
+		}
 		return failure.From((*chains[vm].Load())(ctx, &traffic.Exchange{
-			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: []byte(body)}, Body: []byte(body),
+			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: []byte(input)}, Body: []byte(body),
 			Pool: "pool", Deadline: time.Now().Add(2 * time.Second),
 			Route: &routing.Route{Kind: kind(line["kind"]), Attempts: 2}, Responder: discardingResponder{},
 		}))
@@ -211,6 +217,12 @@
 			startVM(i)
 		}
 	})
+	load.Go(func() {
+		time.Sleep(crashTime)
+		for i := range line.Int("ends_together") {
+			f.end(list[i].ID)
+		}
+	})
 	if line.Has("ends_each") {
 		load.Go(func() {
 			random := rand.New(rand.NewPCG(4, 0))
--- a/internal/filter/quarantiner/quarantiner.go
+++ b/internal/filter/quarantiner/quarantiner.go
@@ -36,7 +36,7 @@
 		return next(ctx, x)
 	}
 	var matches []ident.Fingerprint
-	for _, f := range []ident.Fingerprint{x.Request.TargetFingerprint(), x.Request.Fingerprint()} {
+	for _, f := range []ident.Fingerprint{x.Request.TargetFingerprint(), x.Fingerprint()} {
 		suspect, ok := suspects[f]
 		if suspect.Quarantined {
 			return failure.Refusal(failure.Quarantined, retryDelay,
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -37,14 +37,6 @@
 	Program *Program
 }
 
-// Fingerprint returns a hash of the request's host, method, target and body.
-func (r *Request) Fingerprint() ident.Fingerprint {
-	hash := r.hashTarget()
-	// Writing to a hash never fails.
-	_, _ = hash.Write(r.Body)
-	return ident.Fingerprint(strconv.FormatUint(hash.Sum64(), 16))
-}
-
 // TargetFingerprint returns a hash of the request's host, method and target.
 func (r *Request) TargetFingerprint() ident.Fingerprint {
 	return ident.Fingerprint(strconv.FormatUint(r.hashTarget().Sum64(), 16))
@@ -105,6 +97,15 @@
 	Trace Trace
 }
 
+// Fingerprint returns a hash of the host, method, target and body that the upstream
+// receives. The body of a turn that continues others begins with them.
+func (x *Exchange) Fingerprint() ident.Fingerprint {
+	hash := x.Request.hashTarget()
+	// Writing to a hash never fails.
+	_, _ = hash.Write(x.Body)
+	return ident.Fingerprint(strconv.FormatUint(hash.Sum64(), 16))
+}
+
 // Trace records the decisions on one exchange.
 type Trace struct {
 	Status int
