--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -5,7 +5,9 @@
 // id. Each VM writes a row for each of its calls whose upstream crashed before it
 // answered, and all VMs watch these rows. A request with which several upstreams
 // crashed is quarantined; one that an upstream answers is cleared, since it only ran
-// beside another.
+// beside another. Upstreams that crash for one cause, such as the loss of a failure
+// domain, count once: calls that were under way at the first of these crashes are no
+// evidence against their request.
 //
 // A repeat may have another body, since the prompt of a later turn begins with that of
 // an earlier one. It is recognized by its target alone, unless requests with the same
@@ -14,14 +16,11 @@
 package crashcounter
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/effect"
@@ -30,7 +29,6 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/pacer"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/rowwatcher"
-	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 )
 
 const (
@@ -39,6 +37,8 @@
 	// maxCrashes is the number of upstreams after which a request is quarantined. A
 	// sound request that is repeated beside the same poisonous one may meet two.
 	maxCrashes = 3
+	// eventSpread is the time within which upstreams that crash for one cause do so.
+	eventSpread = time.Second
 	// retention is how long a crash is counted, and retentionJitter the part of it
 	// that differs between VMs, so that one VM removes a row for all.
 	retention       = 10 * time.Minute
@@ -70,22 +70,6 @@
 	recent   []ident.Fingerprint
 }
 
-// crash is one call whose upstream crashed, under one of the fingerprints of its request.
-type crash struct {
-	upstream ident.UpstreamID
-	// byTarget is true if the fingerprint is that of the target.
-	byTarget bool
-	seenAt   time.Time
-	// stored is true once the row is known to be in the store.
-	stored bool
-}
-
-// crashRow is the stored form of a crash.
-type crashRow struct {
-	Upstream ident.UpstreamID `json:"upstream"`
-	ByTarget bool             `json:"by_target"`
-}
-
 // New returns the controller. The seed is that of the retention, which differs between
 // VMs. Rows that can't be read are ignored, and their errors are passed to reject.
 func New(seed uint64, reject func(error)) *Crashcounter {
@@ -144,7 +128,9 @@
 	quarantined := false
 	add := func(f ident.Fingerprint, byTarget bool) {
 		key := rows.Key(string(f) + "/" + call)
-		c.add(f, key, crash{upstream: m.Upstream, byTarget: byTarget, seenAt: now})
+		c.add(f, key, crash{
+			start: start{m.Upstream, m.Incarnation}, byTarget: byTarget, sentAt: toMillisecond(m.SentAt), crashedAt: toMillisecond(now), seenAt: now,
+		})
 		t.Puts = append(t.Puts, c.put(f, key)...)
 		quarantined = quarantined || c.suspect(f).Quarantined
 	}
@@ -169,35 +155,6 @@
 	c.crashes[f][key] = &added
 }
 
-// put returns the row of a crash. It needs no condition: the key names one call at one
-// upstream.
-func (c *Crashcounter) put(f ident.Fingerprint, key rows.Key) []rows.Put {
-	crash := c.crashes[f][key]
-	value, err := json.Marshal(crashRow{Upstream: crash.upstream, ByTarget: crash.byTarget})
-	if err != nil {
-		// Unreachable: strings can always be encoded.
-		c.reject(errors.Annotatef(err, "encode the crash of a request"))
-		return nil
-	}
-	return []rows.Put{{ID: rowID(key), Value: value}}
-}
-
-// writeAgain writes the rows that could not be written.
-func (c *Crashcounter) writeAgain() []effect.Effect {
-	var t rows.Transaction
-	for f, crashes := range c.crashes {
-		for key, crash := range crashes {
-			if !crash.stored && len(t.Puts) < maxChanges {
-				t.Puts = append(t.Puts, c.put(f, key)...)
-			}
-		}
-	}
-	if len(t.Puts) == 0 {
-		return nil
-	}
-	return []effect.Effect{effect.WriteRows{Transaction: t}}
-}
-
 // forget clears a request that an upstream has answered.
 func (c *Crashcounter) forget(f ident.Fingerprint) []effect.Effect {
 	crashes, ok := c.crashes[f]
@@ -217,105 +174,3 @@
 	}
 	return effects
 }
-
-// handleRows applies the rows that this and other VMs wrote.
-func (c *Crashcounter) handleRows(now time.Time, u rowwatcher.Update) []effect.Effect {
-	if u.Complete {
-		c.dropMissing(u.Page)
-	}
-	for _, row := range u.Rows {
-		f, _, ok := strings.Cut(string(row.Key), "/")
-		var stored crashRow
-		if err := json.Unmarshal(row.Value, &stored); err != nil || !ok {
-			c.reject(errors.Errorf("row %s of a crash can't be used: %s", row.Key, row.Value))
-			continue
-		}
-		seenAt := now
-		if known := c.crashes[ident.Fingerprint(f)][row.Key]; known != nil {
-			seenAt = known.seenAt
-		}
-		c.add(ident.Fingerprint(f), row.Key, crash{upstream: stored.Upstream, byTarget: stored.ByTarget, seenAt: seenAt, stored: true})
-	}
-	for _, id := range u.Removed {
-		c.drop(id.Key)
-	}
-	return append(c.expire(now), effect.Publish{})
-}
-
-// dropMissing forgets the crashes whose rows were removed.
-func (c *Crashcounter) dropMissing(page rows.Page) {
-	for _, crashes := range c.crashes {
-		for key, crash := range crashes {
-			if _, present := rows.Find(page.Rows, rowID(key)); crash.stored && !present {
-				c.drop(key)
-			}
-		}
-	}
-}
-
-func (c *Crashcounter) drop(key rows.Key) {
-	f, _, _ := strings.Cut(string(key), "/")
-	delete(c.crashes[ident.Fingerprint(f)], key)
-	if len(c.crashes[ident.Fingerprint(f)]) == 0 {
-		delete(c.crashes, ident.Fingerprint(f))
-	}
-}
-
-// expire removes the crashes whose retention is over.
-func (c *Crashcounter) expire(now time.Time) []effect.Effect {
-	var t rows.Transaction
-	for _, crashes := range c.crashes {
-		for key, crash := range crashes {
-			if now.Sub(crash.seenAt) > c.retention && len(t.Removes) < maxChanges {
-				t.Removes = append(t.Removes, rowID(key))
-				c.drop(key)
-			}
-		}
-	}
-	if len(t.Removes) == 0 {
-		return nil
-	}
-	return []effect.Effect{effect.WriteRows{Transaction: t}}
-}
-
-// handleWrite records which rows were written. The others are written again.
-func (c *Crashcounter) handleWrite(now time.Time, m message.RowsWritten) []effect.Effect {
-	for _, put := range m.Transaction.Puts {
-		if put.Table != table {
-			return nil
-		}
-		if m.Err != nil {
-			return []effect.Effect{c.writer.Set(now.Add(retryInterval))}
-		}
-		f, _, _ := strings.Cut(string(put.Key), "/")
-		if crash := c.crashes[ident.Fingerprint(f)][put.Key]; crash != nil {
-			crash.stored = true
-		}
-	}
-	return nil
-}
-
-func rowID(key rows.Key) rows.ID { return rows.ID{Table: table, Key: key} }
-
-// suspect returns what is known of a request. Calls that one crash of an
-// upstream broke count once. A target whose requests this VM has answered identifies none.
-func (c *Crashcounter) suspect(f ident.Fingerprint) snapshot.Suspect {
-	upstreams := map[ident.UpstreamID]bool{}
-	isIdentified := true
-	for _, crash := range c.crashes[f] {
-		upstreams[crash.upstream] = true
-		isIdentified = !crash.byTarget || !c.answered[f]
-	}
-	return snapshot.Suspect{Crashes: len(upstreams), Quarantined: isIdentified && len(upstreams) >= maxCrashes}
-}
-
-// Describe adds the requests with which upstreams crashed to a snapshot.
-func (c *Crashcounter) Describe(view *snapshot.Snapshot) {
-	if len(c.crashes) == 0 {
-		return
-	}
-	view.Entry.Suspects = make(map[ident.Fingerprint]snapshot.Suspect, len(c.crashes))
-	for f := range c.crashes {
-		view.Entry.Suspects[f] = c.suspect(f)
-	}
-}
--- a/internal/crashcounter/crashcounter_test.go
+++ b/internal/crashcounter/crashcounter_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 		now = now.Add(f.Duration("after"))
 		rejected = 0
 		var described []string
-		for _, m := range parse(f, sent) {
+		for _, m := range parse(f, sent, &now) {
 			for _, e := range c.Handle(now, m) {
 				if w, ok := e.(effect.WriteRows); ok {
 					sent = w.Transaction
@@ -61,7 +62,18 @@
 	}
 }
 
-func parse(f goldentest.Fields, sent rows.Transaction) []message.Message {
+// crashTimes returns when a call was sent and when its upstream crashed. The call is sent
+// after all crashes before, unless it was under way already; the clock then goes on.
+func crashTimes(now *time.Time, underWay bool) (sentAt, crashedAt time.Time) {
+	if underWay {
+		return now.Add(-300 * time.Millisecond), *now
+	}
+	sentAt = now.Add(time.Millisecond)
+	*now = now.Add(100 * time.Millisecond)
+	return sentAt, *now
+}
+
+func parse(f goldentest.Fields, sent rows.Transaction, now *time.Time) []message.Message {
 	switch {
 	case f.Has("start"):
 		return []message.Message{message.Started{}}
@@ -76,16 +88,18 @@
 		}
 		return all
 	case f.Has("crashed"):
+		sentAt, _ := crashTimes(now, f.Has("under_way"))
+		id, incarnation := parseStart(f["crashed"])
 		return []message.Message{message.UpstreamCrashed{
-			Request: ident.RequestID(f["request"]), Upstream: ident.UpstreamID(f["crashed"]),
+			Request: ident.RequestID(f["request"]), Upstream: id, Incarnation: incarnation, SentAt: sentAt,
 			Target: ident.Fingerprint(f["target"]), Contents: ident.Fingerprint(f["contents"]),
 		}}
 	case f.Has("cleared"):
 		return []message.Message{message.SuspectAnswered{Fingerprint: ident.Fingerprint(f["cleared"])}}
 	case f.Has("read"):
-		return []message.Message{message.RowsRead{Range: rows.Range{Table: table}, Page: page(f["read"])}}
+		return []message.Message{message.RowsRead{Range: rows.Range{Table: table}, Page: page(f["read"], now)}}
 	case f.Has("watched"):
-		return []message.Message{message.RowsChanged{Table: table, Page: page(f["watched"])}}
+		return []message.Message{message.RowsChanged{Table: table, Page: page(f["watched"], now)}}
 	case f.Has("written"):
 		m := message.RowsWritten{Transaction: sent, Outcome: rows.Committed{}}
 		if f["written"] == "failed" {
@@ -96,9 +110,20 @@
 	return []message.Message{message.Tick{}}
 }
 
+// parseStart parses an upstream, followed by "#" and its incarnation if that is known.
+func parseStart(text string) (ident.UpstreamID, ident.Incarnation) {
+	id, incarnation, _ := strings.Cut(text, "#")
+	n, err := strconv.ParseUint(incarnation, 10, 64)
+	if err != nil {
+		n = 0
+	}
+	return ident.UpstreamID(id), ident.Incarnation(n)
+}
+
 // page parses rows written as key:upstream, or -key for a removed one. A key that begins
-// with t is that of a target.
-func page(text string) rows.Page {
+// with t is that of a target. A final "!" stands for a call that was under way at the
+// crash before.
+func page(text string, now *time.Time) rows.Page {
 	var p rows.Page
 	for _, word := range strings.Split(text, ",") {
 		if key, removed := strings.CutPrefix(word, "-"); removed {
@@ -107,7 +132,10 @@
 		}
 		key, upstream, ok := strings.Cut(word, ":")
 		if ok {
-			value := fmt.Sprintf(`{"upstream":%q,"by_target":%t}`, upstream, strings.HasPrefix(key, "t"))
+			sentAt, crashedAt := crashTimes(now, strings.HasSuffix(upstream, "!"))
+			id, incarnation := parseStart(strings.TrimSuffix(upstream, "!"))
+			value := fmt.Sprintf(`{"upstream":%q,"incarnation":%d,"by_target":%t,"sent_at_ms":%d,"crashed_at_ms":%d}`,
+				id, incarnation, strings.HasPrefix(key, "t"), sentAt.UnixMilli(), crashedAt.UnixMilli())
 			p.Rows = append(p.Rows, rows.Row{ID: rows.ID{Table: table, Key: rows.Key(key)}, Value: []byte(value)})
 		}
 	}
@@ -143,3 +171,10 @@
 func TestCrashcounter(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", newDecider())).To(Succeed())
 }
+
+// TestIndependentCrashes guards against sound requests that are quarantined because
+// several upstreams crashed for one cause, and against a request that is not recognized
+// because the upstreams that it crashes start again under their ids.
+func TestIndependentCrashes(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/independent/*.txtar", newDecider())).To(Succeed())
+}
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -162,7 +162,7 @@
 		Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
 		Target: f.x.Request.TargetFingerprint(), Result: result,
 	})
-	if crashed && f.reportCrash(ctx, chosen.Upstream.ID) {
+	if crashed && f.reportCrash(ctx, chosen.Upstream, started) {
 		return finished{failure.New(failure.UpstreamFailed, "upstreams crash while they have this request; it may have run")}
 	}
 	return next
@@ -179,12 +179,12 @@
 	return f.caller.IsDown(ctx, u)
 }
 
-// reportCrash reports an upstream that crashed with the request to the control goroutine.
-// It returns true if the request must not be sent to another one.
-func (f *forwarding) reportCrash(ctx context.Context, crashed ident.UpstreamID) bool {
+// reportCrash reports to the control goroutine an upstream that crashed after the request
+// was sent to it. It returns true if the request must not be sent to another one.
+func (f *forwarding) reportCrash(ctx context.Context, crashed upstream.Upstream, sentAt time.Time) bool {
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		return message.UpstreamCrashed{
-			Ticket: t, Request: f.x.Request.ID, Upstream: crashed,
+			Ticket: t, Request: f.x.Request.ID, Upstream: crashed.ID, Incarnation: crashed.Incarnation, SentAt: sentAt,
 			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Fingerprint(),
 		}
 	})
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -190,6 +190,9 @@
 				time.Sleep(time.Duration(random.ExpFloat64() / line.Float("per_vm") * float64(time.Second)))
 				requests.Go(func() {
 					body := fmt.Sprint("sound ", i, " ", n)
+					if line.Has("common_body") {
+						body = "sound"
+					}
 					err := send(i, body)
 					if err != nil {
 						time.Sleep(poisonPause)
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -91,6 +91,10 @@
 	Ticket   ident.Ticket
 	Request  ident.RequestID
 	Upstream ident.UpstreamID
+	// Incarnation is the start of the upstream that was known when the call was sent.
+	Incarnation ident.Incarnation
+	// SentAt is the time at which the call was sent.
+	SentAt time.Time
 	// Target and Contents are the fingerprints of the request's target, and of its
 	// target and body.
 	Target   ident.Fingerprint
