--- a/chain.go
+++ b/chain.go
@@ -58,7 +58,7 @@
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
 		// A request is recognized by its whole body, which the turnrecorder composes.
-		quarantiner.New(n.control),
+		quarantiner.New(n.control, n.timers),
 		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers),
 	)
 }
--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -7,7 +7,8 @@
 // crashed is quarantined; one that an upstream answers is cleared, since it only ran
 // beside another. Upstreams that crash for one cause, such as the loss of a failure
 // domain, count once: calls that were under way at the first of these crashes are no
-// evidence against their request.
+// evidence against their request. A few times, a quarantined request is passed on after
+// a pause, so that an answer can clear it.
 //
 // A repeat may have another body, since the prompt of a later turn begins with that of
 // an earlier one. It is recognized by its target alone, unless requests with the same
@@ -32,7 +33,7 @@
 )
 
 const (
-	// table has one row for each call whose upstream crashed.
+	// table has one row for each call whose upstream crashed, and for each trial.
 	table rows.Table = "request_crashes"
 	// maxCrashes is the number of upstreams after which a request is quarantined. A
 	// sound request that is repeated beside the same poisonous one may meet two.
@@ -64,7 +65,9 @@
 	watcher   *rowwatcher.Rowwatcher
 	// writer schedules the next write of rows that could not be written.
 	writer  pacer.Pacer
-	crashes map[ident.Fingerprint]map[rows.Key]*crash
+	entries map[ident.Fingerprint]map[rows.Key]*entry
+	// pendingTrials has the requests that wait for the row of their trial.
+	pendingTrials map[rows.Key]ident.Ticket
 	// answers counts the answered calls, and answered has the targets of the last of
 	// them, in the order in recent.
 	answers  int
@@ -78,7 +81,7 @@
 	jitter := rand.New(rand.NewPCG(seed, seed)).Int64N(int64(retentionJitter))
 	return &Crashcounter{
 		reject: reject, retention: retention + time.Duration(jitter), watcher: rowwatcher.New(table),
-		crashes: map[ident.Fingerprint]map[rows.Key]*crash{}, answered: map[ident.Fingerprint]bool{},
+		entries: map[ident.Fingerprint]map[rows.Key]*entry{}, pendingTrials: map[rows.Key]ident.Ticket{}, answered: map[ident.Fingerprint]bool{},
 	}
 }
 
@@ -101,6 +104,8 @@
 		}
 	case message.UpstreamCrashed:
 		return c.count(now, m)
+	case message.TrialRequested:
+		return c.startTrial(now, m)
 	case message.SuspectAnswered:
 		return c.forget(m.Fingerprint)
 	case message.RowsWritten:
@@ -130,8 +135,11 @@
 	quarantined := false
 	add := func(f ident.Fingerprint, byTarget bool) {
 		key := rows.Key(string(f) + "/" + call)
-		c.add(f, key, crash{
-			start: start{m.Upstream, m.Incarnation}, byTarget: byTarget, sentAt: toMillisecond(m.SentAt), crashedAt: toMillisecond(m.CrashedAt), seenAt: now,
+		c.add(f, key, entry{
+			event: crash{
+				start: start{m.Upstream, m.Incarnation}, byTarget: byTarget, sentAt: toMillisecond(m.SentAt), crashedAt: toMillisecond(m.CrashedAt),
+			},
+			seenAt: now,
 		})
 		t.Puts = append(t.Puts, c.put(f, key)...)
 		quarantined = quarantined || c.suspect(f).Quarantined
@@ -150,26 +158,26 @@
 	return effects
 }
 
-func (c *Crashcounter) add(f ident.Fingerprint, key rows.Key, added crash) {
-	if c.crashes[f] == nil {
-		c.crashes[f] = map[rows.Key]*crash{}
+func (c *Crashcounter) add(f ident.Fingerprint, key rows.Key, added entry) {
+	if c.entries[f] == nil {
+		c.entries[f] = map[rows.Key]*entry{}
 	}
-	c.crashes[f][key] = &added
+	c.entries[f][key] = &added
 }
 
 // forget clears a request that an upstream has answered.
 func (c *Crashcounter) forget(f ident.Fingerprint) []effect.Effect {
-	crashes, ok := c.crashes[f]
+	entries, ok := c.entries[f]
 	if !ok {
 		return nil
 	}
 	var t rows.Transaction
-	for key, crash := range crashes {
-		if crash.stored && len(t.Removes) < maxChanges {
+	for key, e := range entries {
+		if e.stored && len(t.Removes) < maxChanges {
 			t.Removes = append(t.Removes, rowID(key))
 		}
 	}
-	delete(c.crashes, f)
+	delete(c.entries, f)
 	effects := []effect.Effect{effect.Publish{}}
 	if len(t.Removes) > 0 {
 		effects = append(effects, effect.WriteRows{Transaction: t})
--- a/internal/crashcounter/rows.go
+++ b/internal/crashcounter/rows.go
@@ -14,51 +14,74 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/rowwatcher"
 )
 
-// crashRow is the stored form of a crash. Times are in Unix milliseconds of the VM that
+// eventRow is the stored form of an event. Times are in Unix milliseconds of the VM that
 // made the call.
-type crashRow struct {
-	Upstream    ident.UpstreamID  `json:"upstream"`
+type eventRow struct {
+	Trial       bool              `json:"trial,omitempty"`
+	Upstream    ident.UpstreamID  `json:"upstream,omitempty"`
 	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
 	ByTarget    bool              `json:"by_target"`
-	SentAt      int64             `json:"sent_at_ms"`
-	CrashedAt   int64             `json:"crashed_at_ms"`
+	SentAt      int64             `json:"sent_at_ms,omitempty"`
+	CrashedAt   int64             `json:"crashed_at_ms,omitempty"`
 }
 
-func (c *crash) row() crashRow {
-	return crashRow{
-		Upstream: c.start.upstream, Incarnation: c.start.incarnation, ByTarget: c.byTarget,
-		SentAt: c.sentAt.UnixMilli(), CrashedAt: c.crashedAt.UnixMilli(),
+// encode returns the row of an event.
+func encode(key rows.Key, e event) (rows.Put, error) {
+	var row eventRow
+	switch e := e.(type) {
+	case crash:
+		row = eventRow{
+			Upstream: e.start.upstream, Incarnation: e.start.incarnation, ByTarget: e.byTarget,
+			SentAt: e.sentAt.UnixMilli(), CrashedAt: e.crashedAt.UnixMilli(),
+		}
+	case trial:
+		row.Trial = true
 	}
+	value, err := json.Marshal(row)
+	return rows.Put{ID: rowID(key), Value: value}, errors.Annotatef(err, "encode row %s", key)
 }
 
-func (r crashRow) crash(seenAt time.Time) crash {
-	return crash{
-		start: start{r.Upstream, r.Incarnation}, byTarget: r.ByTarget,
-		sentAt: time.UnixMilli(r.SentAt), crashedAt: time.UnixMilli(r.CrashedAt), seenAt: seenAt, stored: true,
+func decode(row rows.Row) (event, error) {
+	var stored eventRow
+	if err := json.Unmarshal(row.Value, &stored); err != nil || !strings.Contains(string(row.Key), "/") {
+		return nil, errors.Errorf("row %s of a crash can't be used: %s", row.Key, row.Value)
+	}
+	if stored.Trial {
+		return trial{}, nil
 	}
+	return crash{
+		start: start{stored.Upstream, stored.Incarnation}, byTarget: stored.ByTarget,
+		sentAt: time.UnixMilli(stored.SentAt), crashedAt: time.UnixMilli(stored.CrashedAt),
+	}, nil
+}
+
+// fingerprintOf returns the fingerprint in the key of a row.
+func fingerprintOf(key rows.Key) ident.Fingerprint {
+	f, _, _ := strings.Cut(string(key), "/")
+	return ident.Fingerprint(f)
 }
 
 // toMillisecond returns the time as a row has it.
 func toMillisecond(t time.Time) time.Time { return time.UnixMilli(t.UnixMilli()) }
 
-// put returns the row of a crash. It needs no condition: the key names one call at one
-// upstream.
+// put returns the row of an event. It needs no condition: the key of a crash names one
+// call at one upstream.
 func (c *Crashcounter) put(f ident.Fingerprint, key rows.Key) []rows.Put {
-	value, err := json.Marshal(c.crashes[f][key].row())
+	put, err := encode(key, c.entries[f][key].event)
 	if err != nil {
-		// Unreachable: strings can always be encoded.
-		c.reject(errors.Annotatef(err, "encode the crash of a request"))
+		// Unreachable: strings and numbers can always be encoded.
+		c.reject(err)
 		return nil
 	}
-	return []rows.Put{{ID: rowID(key), Value: value}}
+	return []rows.Put{put}
 }
 
 // writeAgain writes the rows that could not be written.
 func (c *Crashcounter) writeAgain() []effect.Effect {
 	var t rows.Transaction
-	for f, crashes := range c.crashes {
-		for key, crash := range crashes {
-			if !crash.stored && len(t.Puts) < maxChanges {
+	for f, entries := range c.entries {
+		for key, e := range entries {
+			if !e.stored && len(t.Puts) < maxChanges {
 				t.Puts = append(t.Puts, c.put(f, key)...)
 			}
 		}
@@ -75,17 +98,16 @@
 		c.dropMissing(u.Page)
 	}
 	for _, row := range u.Rows {
-		f, _, ok := strings.Cut(string(row.Key), "/")
-		var stored crashRow
-		if err := json.Unmarshal(row.Value, &stored); err != nil || !ok {
-			c.reject(errors.Errorf("row %s of a crash can't be used: %s", row.Key, row.Value))
+		event, err := decode(row)
+		if err != nil {
+			c.reject(err)
 			continue
 		}
-		seenAt := now
-		if known := c.crashes[ident.Fingerprint(f)][row.Key]; known != nil {
+		f, seenAt := fingerprintOf(row.Key), now
+		if known := c.entries[f][row.Key]; known != nil {
 			seenAt = known.seenAt
 		}
-		c.add(ident.Fingerprint(f), row.Key, stored.crash(seenAt))
+		c.add(f, row.Key, entry{event: event, seenAt: seenAt, stored: true})
 	}
 	for _, id := range u.Removed {
 		c.drop(id.Key)
@@ -93,11 +115,11 @@
 	return append(c.expire(now), effect.Publish{})
 }
 
-// dropMissing forgets the crashes whose rows were removed.
+// dropMissing forgets the events whose rows were removed.
 func (c *Crashcounter) dropMissing(page rows.Page) {
-	for _, crashes := range c.crashes {
-		for key, crash := range crashes {
-			if _, present := rows.Find(page.Rows, rowID(key)); crash.stored && !present {
+	for _, entries := range c.entries {
+		for key, e := range entries {
+			if _, present := rows.Find(page.Rows, rowID(key)); e.stored && !present {
 				c.drop(key)
 			}
 		}
@@ -105,19 +127,19 @@
 }
 
 func (c *Crashcounter) drop(key rows.Key) {
-	f, _, _ := strings.Cut(string(key), "/")
-	delete(c.crashes[ident.Fingerprint(f)], key)
-	if len(c.crashes[ident.Fingerprint(f)]) == 0 {
-		delete(c.crashes, ident.Fingerprint(f))
+	f := fingerprintOf(key)
+	delete(c.entries[f], key)
+	if len(c.entries[f]) == 0 {
+		delete(c.entries, f)
 	}
 }
 
-// expire removes the crashes whose retention is over.
+// expire removes the events whose retention is over.
 func (c *Crashcounter) expire(now time.Time) []effect.Effect {
 	var t rows.Transaction
-	for _, crashes := range c.crashes {
-		for key, crash := range crashes {
-			if now.Sub(crash.seenAt) > c.retention && len(t.Removes) < maxChanges {
+	for _, entries := range c.entries {
+		for key, e := range entries {
+			if now.Sub(e.seenAt) > c.retention && len(t.Removes) < maxChanges {
 				t.Removes = append(t.Removes, rowID(key))
 				c.drop(key)
 			}
@@ -135,12 +157,14 @@
 		if put.Table != table {
 			return nil
 		}
+		if _, isTrial := c.pendingTrials[put.Key]; isTrial {
+			return c.handleTrialWrite(now, put.Key, m)
+		}
 		if m.Err != nil {
 			return []effect.Effect{c.writer.Set(now.Add(retryInterval))}
 		}
-		f, _, _ := strings.Cut(string(put.Key), "/")
-		if crash := c.crashes[ident.Fingerprint(f)][put.Key]; crash != nil {
-			crash.stored = true
+		if e := c.entries[fingerprintOf(put.Key)][put.Key]; e != nil {
+			e.stored = true
 		}
 	}
 	return nil
--- a/internal/entrylogger/entrylogger.go
+++ b/internal/entrylogger/entrylogger.go
@@ -65,6 +65,8 @@
 	case message.UpstreamCrashed:
 		e.log.Warn().Str("request", string(m.Request)).Str("fingerprint", string(m.Contents)).Str("target_fingerprint", string(m.Target)).Str("upstream", string(m.Upstream)).
 			Msg("upstream crashed with a request")
+	case message.TrialRequested:
+		e.log.Info().Str("fingerprint", string(m.Fingerprint)).Msg("trial of a quarantined request")
 	case message.UpstreamNoticed:
 		if m.Notice.Leaving {
 			e.log.Info().Str("upstream", string(m.Upstream)).Uint64("incarnation", uint64(m.Incarnation)).Msg("upstream says that it leaves")
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -102,6 +102,13 @@
 	Contents ident.Fingerprint
 }
 
+// TrialRequested asks whether a quarantined request may be passed on once. Answered with
+// outcome.TrialDecided.
+type TrialRequested struct {
+	Ticket      ident.Ticket
+	Fingerprint ident.Fingerprint
+}
+
 // SuspectAnswered reports that an upstream answered a request with a fingerprint under
 // which other upstreams had crashed.
 type SuspectAnswered struct{ Fingerprint ident.Fingerprint }
@@ -179,3 +186,4 @@
 func (CallEnded) sealed()             {}
 func (UpstreamCrashed) sealed()       {}
 func (SuspectAnswered) sealed()       {}
+func (TrialRequested) sealed()        {}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -67,6 +67,9 @@
 	Quarantined bool
 }
 
+// TrialDecided says whether a quarantined request may be passed on.
+type TrialDecided struct{ Allowed bool }
+
 // Refused rejects a request with an error.
 type Refused struct{ Err *failure.Error }
 
@@ -95,3 +98,4 @@
 
 func (UpstreamChosen) sealed() {}
 func (CrashCounted) sealed()   {}
+func (TrialDecided) sealed()   {}
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -45,4 +45,7 @@
 	Crashes int
 	// Quarantined is true if the request must not be sent to further upstreams.
 	Quarantined bool
+	// TrialAt is the time from which a quarantined request may be passed on once, zero
+	// if it may not.
+	TrialAt time.Time
 }
