--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -39,10 +39,20 @@
 	limits map[ident.UpstreamID]unit.Rate
 	// leaving has the upstreams that said in an answer that they leave.
 	leaving map[ident.UpstreamID]*leavingNotice
+	// calls has the upstreams of the calls under way, by the ticket of the request for
+	// an upstream.
+	calls map[ident.Ticket]call
 	// firstByteTimes is the smoothed time to the first byte of each route.
 	firstByteTimes map[ident.RouteID]time.Duration
 }
 
+// call is the upstream chosen for a call.
+type call struct {
+	upstream    ident.UpstreamID
+	incarnation ident.Incarnation
+	route       ident.RouteID
+}
+
 // New returns the balancer of a VM. The seed is that of the random numbers that
 // decide among upstreams of equal cost.
 func New(location Location, seed uint64) *Balancer {
@@ -52,6 +62,7 @@
 		upstreams:      map[ident.PoolID][]*upstreamState{},
 		byID:           map[ident.UpstreamID]*upstreamState{},
 		leaving:        map[ident.UpstreamID]*leavingNotice{},
+		calls:          map[ident.Ticket]call{},
 		firstByteTimes: map[ident.RouteID]time.Duration{},
 	}
 }
@@ -80,7 +91,10 @@
 	case message.ChooseUpstream:
 		return []effect.Effect{effect.Answer{Ticket: m.Ticket, Outcome: b.choose(now, m)}}
 	case message.CallEnded:
+		delete(b.calls, m.Ticket)
 		b.handleCallEnded(now, m)
+	case message.WaitAbandoned:
+		b.handleWaitAbandoned(now, m)
 	}
 	return nil
 }
@@ -101,6 +115,17 @@
 	s.callEnded(now, m.Result, expected)
 }
 
+// handleWaitAbandoned ends the call of a request that had left before its upstream was
+// chosen: the call is never sent, so that no message.CallEnded follows.
+func (b *Balancer) handleWaitAbandoned(now time.Time, m message.WaitAbandoned) {
+	c, chosen := b.calls[m.Ticket]
+	if !chosen {
+		return
+	}
+	delete(b.calls, m.Ticket)
+	b.handleCallEnded(now, message.CallEnded{Upstream: c.upstream, Incarnation: c.incarnation, Route: c.route, Result: message.UpstreamAbandoned{}})
+}
+
 // expectedFirstByte returns the expected time to the first byte of a route's calls.
 func (b *Balancer) expectedFirstByte(route ident.RouteID) time.Duration {
 	if observed, known := b.firstByteTimes[route]; known {
@@ -136,6 +161,7 @@
 			"no upstream of pool %s can accept the request; retry later", m.Pool)}
 	}
 	chosen.callStarted(now)
+	b.calls[m.Ticket] = call{upstream: chosen.ID, incarnation: chosen.Incarnation, route: m.Route.ID}
 	return outcome.UpstreamChosen{
 		Upstream: chosen.Upstream, Urgency: urgency(m.Route), ListAge: now.Sub(b.asOf), IdleTimeout: b.idleTimeout(m),
 		Limit: b.limits[chosen.ID],
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -96,7 +96,7 @@
 }
 
 func choose(b *balancer.Balancer, now time.Time, f goldentest.Fields) string {
-	m := message.ChooseUpstream{Pool: "pool", Route: &routing.Route{ID: ident.RouteID(f["route"]), Kind: routing.Idempotent{}}, Affinity: f["affinity"]}
+	m := message.ChooseUpstream{Ticket: ident.Ticket(f.Int("ticket")), Pool: "pool", Route: &routing.Route{ID: ident.RouteID(f["route"]), Kind: routing.Idempotent{}}, Affinity: f["affinity"]}
 	if f.Has("once") {
 		m.Route.Kind = routing.NonIdempotent{}
 	}
--- a/internal/balancer/notice_test.go
+++ b/internal/balancer/notice_test.go
@@ -56,7 +56,9 @@
 			pools := []routing.Pool{{ID: "pool", Connections: f.Int("connections")}}
 			b.Handle(now, message.RoutesChanged{Table: routing.New(1, nil, pools, routing.Limits{})})
 		case f.Has("ended"):
-			b.Handle(now, message.CallEnded{Upstream: ident.UpstreamID(f["ended"]), Incarnation: parseIncarnation(f["of"]), Result: result(f)})
+			b.Handle(now, message.CallEnded{Ticket: ident.Ticket(f.Int("ticket")), Upstream: ident.UpstreamID(f["ended"]), Incarnation: parseIncarnation(f["of"]), Result: result(f)})
+		case f.Has("abandoned"):
+			b.Handle(now, message.WaitAbandoned{Ticket: ident.Ticket(f.Int("abandoned"))})
 		case f.Has("calls"):
 			chosen := map[string]int{}
 			for range f.Int("calls") {
@@ -102,3 +104,9 @@
 		NewWithT(t).Expect(goldentest.Check("testdata/restart/"+table+".txtar", newNoticeDecider())).To(Succeed())
 	}
 }
+
+// TestAbandonedChoice guards against an upstream that gets no more calls because each
+// request whose caller left before the choice takes a place there for good.
+func TestAbandonedChoice(t *testing.T) {
+	NewWithT(t).Expect(goldentest.Check("testdata/abandoned/*.txtar", newNoticeDecider())).To(Succeed())
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -145,6 +145,9 @@
 // of the context if it ends first. In the latter case the controllers receive
 // message.WaitAbandoned.
 func (e *Executor) Ask(ctx context.Context, build func(ident.Ticket) message.Message) (outcome.Outcome, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	ticket := ident.Ticket(e.lastTicket.Add(1))
 	reply := make(chan outcome.Outcome, 1)
 	select {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -55,6 +55,8 @@
 	*Forwarder
 	x     *traffic.Exchange
 	tried []ident.UpstreamID
+	// ticket is that of the last request for an upstream.
+	ticket ident.Ticket
 	// sent counts the attempts that may have run.
 	sent      int
 	headSent  bool
@@ -101,6 +103,7 @@
 
 func (f *forwarding) chooseUpstream(ctx context.Context) (outcome.UpstreamChosen, error) {
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
+		f.ticket = t
 		return message.ChooseUpstream{
 			Ticket: t, Pool: f.x.Pool, Route: f.x.Route, Affinity: affinity(f.x), Prompt: f.x.Request.Prompt,
 			Tried: f.tried,
@@ -160,7 +163,7 @@
 		result = message.UpstreamFailed{Connected: false}
 	}
 	f.control.Post(message.CallEnded{
-		Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
+		Ticket: f.ticket, Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
 		Target: f.x.Request.TargetFingerprint(), Result: result,
 	})
 	if crashed && f.reportCrash(ctx, chosen.Upstream, started, ended) {
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -163,6 +163,8 @@
 
 // CallEnded reports that a call no longer uses its upstream.
 type CallEnded struct {
+	// Ticket is that of the request for the upstream.
+	Ticket   ident.Ticket
 	Upstream ident.UpstreamID
 	// Incarnation is the start of the upstream that was known when the call was sent.
 	Incarnation ident.Incarnation
