routematcher: don't answer 404 by routes that may be old

Cause: a request without a route is answered with 404 whatever the age of the routes. A 404 ends the program of its caller.

Change: if the routes are older than a watch without changes can be, or if the request is a turn that continues another one, the answer is 503 as not run. A turn before it had a route at some VM, so that this one may not know it yet.

--- a/chain.go
+++ b/chain.go
@@ -20,6 +20,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/subscriber"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 	"github.com/sassafrasspur/sassafrasspur/platform"
 )
@@ -53,7 +54,7 @@
 	members := func() []snapshot.Member { return n.view().Members }
 	return traffic.Chain(
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
-		routematcher.New(n.control.Snapshot),
+		routematcher.New(n.control.Snapshot, n.timers, subscriber.MaxAge(n.settings.Ingress.RoutesLimit)),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
--- a/internal/filter/routematcher/routematcher.go
+++ b/internal/filter/routematcher/routematcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 )
 
@@ -17,24 +18,28 @@
 
 // Routematcher matches requests to routes.
 type Routematcher struct {
-	view func() *snapshot.Snapshot
+	view   func() *snapshot.Snapshot
+	timers *timer.Service
+	maxAge time.Duration
 }
 
-// New returns the filter. It reads the routes from the snapshot that view returns.
-func New(view func() *snapshot.Snapshot) *Routematcher {
-	return &Routematcher{view: view}
+// New returns the filter. It reads the routes from the snapshot that view returns. Routes
+// that are older than maxAge may lack a route that has been added meanwhile.
+func New(view func() *snapshot.Snapshot, timers *timer.Service, maxAge time.Duration) *Routematcher {
+	return &Routematcher{view: view, timers: timers, maxAge: maxAge}
 }
 
 // Serve sets the route, pool and deadline of the exchange. The context of the
 // following filters ends at the deadline.
 func (m *Routematcher) Serve(ctx context.Context, x *traffic.Exchange, next traffic.Handler) error {
-	x.Table = m.view().Entry.Routes
+	known := m.view().Entry
+	x.Table = known.Routes
 	if x.Table == nil {
 		return failure.Refusal(failure.ConfigurationStale, noRouteRetryDelay, "this VM has not read the routes yet; repeat the request at another address")
 	}
 	route, ok := x.Table.Match(x.Request.Host, x.Request.Path)
 	if !ok {
-		return failure.New(failure.NotFound, "no route of %s has the path; check the address", x.Request.Host)
+		return m.refuseUnknown(x, m.timers.Now().Sub(known.RoutesAsOf))
 	}
 	pool, ok := route.Destination(x.Request.ID)
 	if !ok {
@@ -50,3 +55,16 @@
 	defer cancel()
 	return next(ctx, x)
 }
+
+// refuseUnknown returns the error of a request without a route. A VM that has just woken
+// from a freeze, or can't reach the store, does not know the routes that were added
+// meanwhile. A turn that continues another one had a route at the VM that ran that one,
+// which may have learned of it earlier.
+func (m *Routematcher) refuseUnknown(x *traffic.Exchange, age time.Duration) error {
+	continues := x.Request.Program != nil && x.Request.Program.Previous != ""
+	if continues || age > m.maxAge {
+		return failure.Refusal(failure.ConfigurationStale, noRouteRetryDelay,
+			"no route of %s has the path as of %s ago; repeat the request at another address", x.Request.Host, age.Round(time.Millisecond))
+	}
+	return failure.New(failure.NotFound, "no route of %s has the path; check the address", x.Request.Host)
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -52,9 +52,15 @@
 
 // WithRoutesLimit sets the time within which a new version has to be in force.
 func WithRoutesLimit(limit time.Duration) Option {
-	return func(s *Subscriber) { s.watchTimeout = max(limit-watchMargin, minWatchTimeout) }
+	return func(s *Subscriber) { s.watchTimeout = watchTimeout(limit) }
 }
 
+// MaxAge returns the age of the routes up to which a watch that found no change may still
+// be under way: that of two watches and of an answer that takes long.
+func MaxAge(limit time.Duration) time.Duration { return 2*watchTimeout(limit) + watchMargin }
+
+func watchTimeout(limit time.Duration) time.Duration { return max(limit-watchMargin, minWatchTimeout) }
+
 // New returns the controller for the routes in a table. Rows that can't be decoded
 // are ignored, and their errors are passed to reject.
 func New(table rows.Table, decode func(rows.Row) (*routing.Table, error), reject func(error), options ...Option) *Subscriber {
