--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -130,7 +130,7 @@
 	d.servers = append(d.servers, server)
 	d.replicas[id] = r
 	d.putRow(g, "servers", rows.Key(id), map[string]any{
-		"service": pool, "address": server.Listener.Addr().String(), "zone": "domain", "slots": 4, "state": "ready",
+		"service": pool, "address": server.Listener.Addr().String(), "zone": "domain", "slots": 4, "state": "ready", "version": "v1", "coldRemainingMs": 0, "seq": 1,
 	})
 }
 
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -174,12 +174,8 @@
 	}
 	var requestID atomic.Int64
 	send := func(vm int, body string) *failure.Error {
-		input := body
-		if line.Has("common_input") {
-			input = "yes"
-		}
 		return failure.From((*chains[vm].Load())(ctx, &traffic.Exchange{
-			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: []byte(input)}, Body: []byte(body),
+			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: input(line, body)}, Body: []byte(body),
 			Pool: "pool", Deadline: time.Now().Add(2 * time.Second),
 			Route: &routing.Route{Kind: kind(line["kind"]), Attempts: 2}, Responder: discardingResponder{},
 		}))
@@ -193,10 +189,7 @@
 			for n := 0; time.Since(f.start) < poisonPlayTime; n++ {
 				time.Sleep(time.Duration(random.ExpFloat64() / line.Float("per_vm") * float64(time.Second)))
 				requests.Go(func() {
-					body := fmt.Sprint("sound ", i, " ", n)
-					if line.Has("common_body") {
-						body = "sound"
-					}
+					body := soundBody(line, i, n)
 					err := send(i, body)
 					if err != nil {
 						time.Sleep(poisonPause)
@@ -224,6 +217,22 @@
 			startVM(i)
 		}
 	})
+	f.startCrashes(line, &load, list)
+	load.Wait()
+	requests.Wait()
+	for _, control := range controls {
+		control.Close()
+	}
+	result := fmt.Sprintf("sent more than three times after its third upstream: %t, sound requests not served: %t, taken for poisonous: %t",
+		f.isExceeded(), unserved*100 > sent, quarantined > sent/1000)
+	if f.curedAt > 0 {
+		result += fmt.Sprintf(", served once it is sound: %t", f.served.Load())
+	}
+	return result
+}
+
+// startCrashes ends upstreams at the times of a line, whatever requests they have.
+func (f *poisonFleet) startCrashes(line goldentest.Fields, load *sync.WaitGroup, list []upstream.Upstream) {
 	load.Go(func() {
 		time.Sleep(crashTime)
 		for i := range line.Int("ends_together") {
@@ -239,17 +248,23 @@
 			}
 		})
 	}
-	load.Wait()
-	requests.Wait()
-	for _, control := range controls {
-		control.Close()
+}
+
+// soundBody returns the body of the n-th sound request that VM i gets.
+func soundBody(line goldentest.Fields, i, n int) string {
+	if line.Has("common_body") {
+		return "sound"
 	}
-	result := fmt.Sprintf("sent more than three times after its third upstream: %t, sound requests not served: %t, taken for poisonous: %t",
-		f.isExceeded(), unserved*100 > sent, quarantined > sent/1000)
-	if f.curedAt > 0 {
-		result += fmt.Sprintf(", served once it is sound: %t", f.served.Load())
+	return fmt.Sprint("sound ", i, " ", n)
+}
+
+// input returns the body as the caller sent it, which is a part of the one that the
+// upstream receives.
+func input(line goldentest.Fields, body string) []byte {
+	if line.Has("common_input") {
+		return []byte("yes")
 	}
-	return result
+	return []byte(body)
 }
 
 // sendPoison sends copies of a poisonous request to random VMs until the end of the
--- a/internal/standin/soak/runner/runner.go
+++ b/internal/standin/soak/runner/runner.go
@@ -191,7 +191,7 @@
 }
 
 func (u *upstreamStandin) entry() map[string]any {
-	return map[string]any{"service": u.pool, "address": u.proxy.Address(), "zone": "a", "slots": 8, "state": "ready"}
+	return map[string]any{"service": u.pool, "address": u.proxy.Address(), "zone": "a", "slots": 8, "state": "ready", "version": "v1", "coldRemainingMs": 0, "seq": 1}
 }
 
 // registerUpstreams rewrites the rows of upstreams periodically, as replicas do.
