sequencer: bound the limit that a call states

On the program API a call with max_tokens ran whatever the budget of its program.

Cause: the sum of its limit and its prompt overflows and is negative, so that the budget appears to cover it.

Change: the limit is bounded in the sum at a number that no budget covers.

--- a/internal/sequencer/submission.go
+++ b/internal/sequencer/submission.go
@@ -179,6 +179,10 @@
 	return "", false
 }
 
+// maxTokensPerCall bounds the limit that a call states, so that sums with it don't
+// overflow. No budget covers a call of this size.
+const maxTokensPerCall unit.Tokens = 1e12
+
 // worstCase returns the maximum cost of a call. A token has at least one byte,
 // so the byte length of text that no engine has counted yet bounds its tokens.
 func worstCase(r Submit, state *program.State) record.Amount {
@@ -194,7 +198,7 @@
 		}
 		prompt += len(turn.Body) + len(turn.Answer.Body)
 	}
-	need.Tokens = state.HistoryTokens + unit.Tokens(prompt+turnOverheadTokens) + r.Request.MaxTokens
+	need.Tokens = state.HistoryTokens + unit.Tokens(prompt+turnOverheadTokens) + min(r.Request.MaxTokens, maxTokensPerCall)
 	return need
 }
 
