balancer: keep the latest incarnation of a leaving notice

Cause: a notice of a call that was sent by an older list replaced one of a later start, whose entry then ended it although that process leaves. Change: the later incarnation is kept, and a comment is wrapped.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -135,8 +135,8 @@
 }
 
 // setUpstreams replaces the list of upstreams. The state of an upstream is kept
-// while its address and incarnation are unchanged. Calls may still be in flight at an upstream
-// that is no longer listed.
+// while its address and incarnation are unchanged. Calls may still be in flight at
+// an upstream that is no longer listed.
 func (b *Balancer) setUpstreams(m message.UpstreamsRead) {
 	b.asOf = m.AsOf
 	b.upstreams = map[ident.PoolID][]*upstreamState{}
--- a/internal/balancer/leaving.go
+++ b/internal/balancer/leaving.go
@@ -34,7 +34,11 @@
 	if listed && s.Incarnation.Replaces(m.Incarnation) {
 		return
 	}
-	b.leaving[m.Upstream] = &leavingNotice{at: now, incarnation: m.Incarnation}
+	notice := &leavingNotice{at: now, incarnation: m.Incarnation}
+	if earlier := b.leaving[m.Upstream]; earlier != nil {
+		notice.incarnation = max(notice.incarnation, earlier.incarnation)
+	}
+	b.leaving[m.Upstream] = notice
 	if listed {
 		s.Leaving = true
 	}
