forwarder: count a crash whose caller has left

What callers saw: nothing yet.

Cause: the report used the context of the caller.

Change: the report does not end with the caller.

Evidence: TestCrashAfterCallerLeft timed out before ("to equal 1") and passes.

--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -186,14 +186,15 @@
 // reportCrash reports to the control goroutine an upstream that crashed while it had the
 // request. It returns true if the request must not be sent to another one.
 func (f *forwarding) reportCrash(ctx context.Context, crashed upstream.Upstream, sentAt, crashedAt time.Time) bool {
-	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
+	// The crash counts also if the caller has left meanwhile.
+	answer, err := f.control.Ask(context.WithoutCancel(ctx), func(t ident.Ticket) message.Message {
 		return message.UpstreamCrashed{
 			Ticket: t, Request: f.x.Request.ID, Upstream: crashed.ID, Incarnation: crashed.Incarnation, SentAt: sentAt, CrashedAt: crashedAt,
 			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Fingerprint(),
 		}
 	})
 	if err != nil {
-		// The caller has left or the VM stops, so that no other attempt follows.
+		// The VM stops, so that no other attempt follows.
 		return false
 	}
 	counted, ok := answer.(outcome.CrashCounted)
