standin: register upstreams with all published fields

Cause: since an entry without version, coldRemainingMs and seq names no upstream. Change: the stand-in writes the fields as the platform publishes them.

--- a/internal/standin/rowserver/control.go
+++ b/internal/standin/rowserver/control.go
@@ -69,7 +69,9 @@
 	if leaving {
 		state = "leaving"
 	}
-	value, err := json.Marshal(map[string]any{"service": "upstreams", "address": address, "zone": "any", "slots": 1, "state": state})
+	value, err := json.Marshal(map[string]any{
+		"service": "upstreams", "address": address, "zone": "any", "slots": 1, "state": state, "version": "v1", "coldRemainingMs": 0, "seq": 1,
+	})
 	if err != nil {
 		return errors.Trace(err)
 	}
