--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/clientaccount"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
@@ -16,6 +17,9 @@
 	Version ident.Version
 	Pools   map[ident.PoolID]Pool
 	Limits  Limits
+	// Accounts is nil if the configuration lists no client accounts. Requests then need
+	// no key.
+	Accounts *clientaccount.Directory
 	// hosts holds the routes of each host, by descending length of the prefix.
 	hosts map[string][]*Route
 }
@@ -67,7 +71,9 @@
 	Attempts int
 	// Sticky is set if an upstream answers faster for a program or affinity key
 	// that it has served before.
-	Sticky       bool
+	Sticky bool
+	// Public is set if requests need no key of a client account.
+	Public       bool
 	Destinations []Destination
 }
 
@@ -117,9 +123,20 @@
 	}
 }
 
+// Option configures a Table.
+type Option func(*Table)
+
+// WithAccounts sets the client accounts.
+func WithAccounts(accounts *clientaccount.Directory) Option {
+	return func(t *Table) { t.Accounts = accounts }
+}
+
 // New returns a table of the given routes and pools.
-func New(version ident.Version, routes []Route, pools []Pool, limits Limits) *Table {
+func New(version ident.Version, routes []Route, pools []Pool, limits Limits, options ...Option) *Table {
 	t := &Table{Version: version, Pools: map[ident.PoolID]Pool{}, Limits: limits, hosts: map[string][]*Route{}}
+	for _, option := range options {
+		option(t)
+	}
 	for _, pool := range pools {
 		t.Pools[pool.ID] = pool
 	}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/clientaccount"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
@@ -31,6 +32,8 @@
 	LastEventID ident.EventID
 	// AffinityKey is the affinity key sent by the caller, empty if not specified.
 	AffinityKey string
+	// Key is the key of a client account, empty if the caller sent none.
+	Key clientaccount.Key
 	// Prompt is nil for a request without a prompt.
 	Prompt *Prompt
 	// Program is nil for a request that belongs to no program.
@@ -89,6 +92,8 @@
 	Table    *routing.Table
 	Route    *routing.Route
 	Pool     ident.PoolID
+	// Account is nil if the request has none.
+	Account *clientaccount.Account
 	// Body is the request body sent to the upstream.
 	Body []byte
 	// Responder receives the answer.
@@ -97,6 +102,15 @@
 	Trace Trace
 }
 
+// Priority returns the rank of the exchange; 0 is the highest. That of an account
+// replaces that of the route.
+func (x *Exchange) Priority() int {
+	if x.Account != nil {
+		return x.Account.Priority
+	}
+	return x.Route.Priority
+}
+
 // Fingerprint returns a hash of the host, method, target and body that the upstream
 // receives. The body of a turn that continues others begins with them.
 func (x *Exchange) Fingerprint() ident.Fingerprint {
