accountresolver: identify client accounts by their keys

Configurations may list client accounts. The filter finds the account of a key directly after the route is matched, the forwarder checks the key again before each send, and upstreams are told the account instead of the key. With revocation_limit, a key is used only while the routes are proved to be recent: a proof counts from the start of the read on the boot clock, needs a version that is not lower than any seen before the read, and the store's own clock. Turns belong to their account. Without accounts in the configuration, the calls of the store and of upstreams are as before.

--- a/chain.go
+++ b/chain.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
 	"github.com/sassafrasspur/sassafrasspur/internal/enginecaller"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/accountresolver"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/admitter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/authenticator"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/callreporter"
@@ -17,6 +18,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/routematcher"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
 	"github.com/sassafrasspur/sassafrasspur/internal/granter"
+	"github.com/sassafrasspur/sassafrasspur/internal/keychecker"
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
@@ -52,15 +54,18 @@
 // requests pass through it.
 func (n *Node) ingressChain() traffic.Handler {
 	members := func() []snapshot.Member { return n.view().Members }
+	keys := keychecker.New(n.control, n.timers, keychecker.WithRevocationLimit(n.settings.Ingress.RevocationLimit))
 	return traffic.Chain(
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
 		routematcher.New(n.control.Snapshot, n.timers, subscriber.MaxAge(n.settings.Ingress.RoutesLimit)),
+		accountresolver.New(keys),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
 		turnrecorder.New(n.settings.Domain,
-			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
+			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers,
+			turnrecorder.WithConfirm(keys.Confirm)),
 		// A request is recognized by its whole body, which the turnrecorder composes.
 		quarantiner.New(n.control, n.timers),
-		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers),
+		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers, forwarder.WithCheck(keys.Check)),
 	)
 }
 
--- a/control.go
+++ b/control.go
@@ -41,7 +41,7 @@
 	var all []executor.Controller
 	if n.ingressAPI != nil {
 		all = append(all, subscriber.New(platform.RoutesTable, platform.DecodeRoutes, n.errorLogger("routes rejected"),
-			subscriber.WithRoutesLimit(s.Ingress.RoutesLimit)))
+			subscriber.WithRoutesLimit(s.Ingress.RoutesLimit), subscriber.WithRevocationLimit(s.Ingress.RevocationLimit)))
 	}
 	if n.programAPI != nil {
 		all = append(all, configurer.New(n.errorLogger("configuration rejected"),
@@ -83,7 +83,7 @@
 // effectRunner returns the component that executes the effects of the controllers. A
 // VM that serves only the ingress API needs no effects beyond those on the store.
 func (n *Node) effectRunner(ctx context.Context) executor.EffectRunner {
-	var options []storeworker.Option
+	options := []storeworker.Option{storeworker.WithKnownVersion(n.versions.Known)}
 	if n.peers != nil {
 		options = append(options, storeworker.WithPeers(n.peers))
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -163,7 +163,7 @@
 	chosen.callStarted(now)
 	b.calls[m.Ticket] = call{upstream: chosen.ID, incarnation: chosen.Incarnation, route: m.Route.ID}
 	return outcome.UpstreamChosen{
-		Upstream: chosen.Upstream, Urgency: urgency(m.Route), ListAge: now.Sub(b.asOf), IdleTimeout: b.idleTimeout(m),
+		Upstream: chosen.Upstream, Urgency: urgency(m.Route, m.Priority), ListAge: now.Sub(b.asOf), IdleTimeout: b.idleTimeout(m),
 		Limit: b.limits[chosen.ID],
 	}
 }
@@ -195,17 +195,17 @@
 	return noUpstreamRetryAfter
 }
 
-// firstEngineUrgency is the urgency of the most important route at an engine.
-// Less important routes have higher numbers; 5 is the engine's default.
+// firstEngineUrgency is the urgency of the most important calls at an engine. Less
+// important ones have higher numbers; 5 is the engine's default.
 const firstEngineUrgency = 3
 
-// urgency returns the urgency of a route's calls at an engine, or -1 if the route
+// urgency returns the urgency of a call of a priority at an engine, or -1 if its route
 // does not serve streams.
-func urgency(r *routing.Route) upstream.Urgency {
+func urgency(r *routing.Route, priority int) upstream.Urgency {
 	if _, ok := r.Kind.(routing.Stream); !ok {
 		return -1
 	}
-	return upstream.Urgency(min(firstEngineUrgency+max(r.Priority, 0), 9))
+	return upstream.Urgency(min(firstEngineUrgency+max(priority, 0), 9))
 }
 
 // Describe adds nothing to a snapshot: the controller that reads the list of
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -102,7 +102,7 @@
 	}
 	if f.Has("prompt") {
 		m.Prompt = &traffic.Prompt{Input: 4000, Parts: []traffic.Part{{Tokens: 2500}, {Tokens: 1500}}}
-		m.Route = &routing.Route{Kind: routing.Stream{}, Priority: f.Int("priority")}
+		m.Route, m.Priority = &routing.Route{Kind: routing.Stream{}}, f.Int("priority")
 	}
 	for _, id := range strings.Split(f["tried"], ",") {
 		m.Tried = append(m.Tried, ident.UpstreamID(id))
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -43,11 +43,25 @@
 	control *executor.Executor
 	caller  upstream.Caller
 	timers  *timer.Service
+	check   Check
 }
 
+// Check returns an error if an exchange must not be sent to an upstream now.
+type Check func(ctx context.Context, x *traffic.Exchange) error
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithCheck sets the check that precedes each send.
+func WithCheck(check Check) Option { return func(f *Forwarder) { f.check = check } }
+
 // New returns the filter. The control goroutine chooses the upstreams.
-func New(control *executor.Executor, caller upstream.Caller, timers *timer.Service) *Forwarder {
-	return &Forwarder{control: control, caller: caller, timers: timers}
+func New(control *executor.Executor, caller upstream.Caller, timers *timer.Service, options ...Option) *Forwarder {
+	f := &Forwarder{control: control, caller: caller, timers: timers, check: func(context.Context, *traffic.Exchange) error { return nil }}
+	for _, option := range options {
+		option(f)
+	}
+	return f
 }
 
 // forwarding is the state of forwarding one exchange.
@@ -88,6 +102,9 @@
 		if err != nil {
 			return forwarding.finalError(ctx, err, last)
 		}
+		if err := f.check(ctx, x); err != nil {
+			return forwarding.withhold(chosen, err)
+		}
 		switch s := forwarding.attempt(ctx, chosen).(type) {
 		case finished:
 			return s.err
@@ -105,7 +122,7 @@
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		f.ticket = t
 		return message.ChooseUpstream{
-			Ticket: t, Pool: f.x.Pool, Route: f.x.Route, Affinity: affinity(f.x), Prompt: f.x.Request.Prompt,
+			Ticket: t, Pool: f.x.Pool, Route: f.x.Route, Priority: f.x.Priority(), Affinity: affinity(f.x), Prompt: f.x.Request.Prompt,
 			Tried: f.tried,
 		}
 	})
@@ -120,6 +137,19 @@
 	return chosen, nil
 }
 
+// withhold returns the place at the chosen upstream of a request that must not be sent, and
+// returns the error of the request.
+func (f *forwarding) withhold(chosen outcome.UpstreamChosen, reason error) error {
+	f.control.Post(message.CallEnded{
+		Ticket: f.ticket, Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
+		Target: f.x.Request.TargetFingerprint(), Result: message.UpstreamAbandoned{},
+	})
+	if f.sent > 0 {
+		return failure.New(failure.UpstreamFailed, "%v; the request may have run", reason)
+	}
+	return reason
+}
+
 // affinity returns the key under which upstreams cache state of a request, or an
 // empty string if its route is not sticky.
 func affinity(x *traffic.Exchange) string {
@@ -147,11 +177,14 @@
 		Host:        f.x.Request.Host,
 		Header:      f.x.Request.Header,
 		Body:        f.x.Body,
+		Account:     f.x.AccountID(),
 		TimeLeft:    f.x.Deadline.Sub(started),
 		Urgency:     chosen.Urgency,
 		LastEventID: f.lastEvent,
 		IdleTimeout: f.idleTimeout(started, chosen.IdleTimeout),
 
+		AccountsListed: f.x.AccountsListed,
+
 		Repeatable: f.x.Route.Repeatable(),
 	})
 	f.reportNotice(chosen, answer)
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
@@ -19,6 +20,8 @@
 	// ObserveExchange records an exchange under the class of its route and its
 	// outcome. The time to the first event is not observed if first is 0.
 	ObserveExchange(class, outcome string, first, totalTime time.Duration)
+	// ObserveAccount records the outcome of an exchange of a client account.
+	ObserveAccount(account ident.AccountID, outcome string)
 }
 
 // Reporter logs and measures exchanges.
@@ -52,6 +55,9 @@
 	}
 	line.Msg("request ended")
 	r.meter.ObserveExchange(class(x), outcome, x.Trace.FirstEvent, totalTime)
+	if x.AccountsListed {
+		r.meter.ObserveAccount(x.AccountID(), outcome)
+	}
 	return err
 }
 
@@ -60,6 +66,9 @@
 	if x.Route != nil {
 		line.Str("route", string(x.Route.ID)).Uint64("routes_version", uint64(x.Table.Version)).Str("pool", string(x.Pool))
 	}
+	if x.AccountsListed {
+		line.Str("account", string(x.AccountID())).Dur("configuration_age_ms", x.Trace.ConfigurationAge)
+	}
 	if p := x.Request.Program; p != nil {
 		line.Str("program", string(p.ID)).Int64("budget", int64(p.Budget)).Dur("program_left_ms", p.TimeLeft)
 		if p.Previous != "" {
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -29,11 +29,26 @@
 	ledger  *ledger.Ledger
 	timers  *timer.Service
 	domain  ident.Domain
+	confirm Confirm
 }
 
+// Confirm returns an error if the account of an exchange is not certain.
+type Confirm func(ctx context.Context, x *traffic.Exchange) error
+
+// Option configures a Turnrecorder.
+type Option func(*Turnrecorder)
+
+// WithConfirm sets the check that precedes the answer that a turn was not found. The turn
+// may belong to the account to which the key of the request has moved.
+func WithConfirm(confirm Confirm) Option { return func(t *Turnrecorder) { t.confirm = confirm } }
+
 // New returns the filter of a VM in a failure domain.
-func New(domain ident.Domain, g *granter.Granter, l *ledger.Ledger, timers *timer.Service) *Turnrecorder {
-	return &Turnrecorder{granter: g, ledger: l, timers: timers, domain: domain}
+func New(domain ident.Domain, g *granter.Granter, l *ledger.Ledger, timers *timer.Service, options ...Option) *Turnrecorder {
+	t := &Turnrecorder{granter: g, ledger: l, timers: timers, domain: domain, confirm: func(context.Context, *traffic.Exchange) error { return nil }}
+	for _, option := range options {
+		option(t)
+	}
+	return t
 }
 
 // Serve reserves the tokens of a turn and records it. Other requests are passed on
@@ -44,12 +59,17 @@
 	if !isStream || program == nil || x.Request.Prompt == nil || program.Budget <= 0 && !stream.Retained {
 		return next(ctx, x)
 	}
-	turn := ledger.Turn{Program: program.ID, Turn: x.Request.ID}
+	turn := ledger.Turn{Program: program.ID, Turn: x.Request.ID, Account: x.AccountID(), AccountsIgnored: !x.AccountsListed}
 	if stream.Retained {
 		turn.Previous = program.Previous
 	}
 	grant, history, err := t.prepare(ctx, x, turn, stream.Retained)
 	x.Trace.PrepareDuration = t.timers.Now().Sub(x.Arrived)
+	if failure.Is(err, failure.NotFound) {
+		if unsure := t.confirm(ctx, x); unsure != nil {
+			return unsure
+		}
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -35,6 +35,16 @@
 	Turn    ident.RequestID
 	// Previous is the turn that this one continues, empty for the first.
 	Previous ident.RequestID
+	// Account is the client account of the turn, empty for none.
+	Account ident.AccountID
+	// AccountsIgnored is true if the turn may continue turns of any account.
+	AccountsIgnored bool
+}
+
+// mayContinue reports whether the turn may continue one of an account. Turns without an
+// account may be continued by all, as before accounts were configured.
+func (t Turn) mayContinue(account ident.AccountID) bool {
+	return account == "" || account == t.Account || t.AccountsIgnored
 }
 
 // Ledger reads and stores turns. It is safe for concurrent use.
@@ -74,7 +84,7 @@
 		if t.Previous == "" {
 			return nil, nil
 		}
-		if history, ok := l.cache.history(t.Previous); ok {
+		if history, ok := l.cache.history(t); ok {
 			return history, nil
 		}
 	}
@@ -109,11 +119,14 @@
 			}
 			turn = program.turns[previous]
 		}
+		if !t.mayContinue(turn.Account) {
+			return nil, notFound(t.Previous)
+		}
 		text, err := program.text(previous)
 		if err != nil {
 			return nil, err
 		}
-		l.cache.add(previous, turn.Previous, text)
+		l.cache.add(Turn{Turn: previous, Previous: turn.Previous, Account: turn.Account}, text)
 		texts = append(texts, text)
 		previous = turn.Previous
 	}
@@ -172,7 +185,13 @@
 	if readErr != nil {
 		return "", readErr
 	}
-	return "", failure.Refusal(failure.NotFound, 0, "there is no turn %s, or its retention is over; start a new session", t)
+	return "", notFound(t)
+}
+
+// notFound returns the error of a turn that does not exist, or belongs to another account.
+// Its message does not tell which.
+func notFound(t ident.RequestID) error {
+	return failure.Refusal(failure.NotFound, 0, "there is no turn %s, or its retention is over; start a new session", t)
 }
 
 // RowIDs returns the IDs of all rows of a program's turns.
@@ -214,7 +233,7 @@
 		l.recordReachability(ctx, err)
 		if err == nil {
 			if err = checkOwnRow(outcome, turnID(t.Program, t.Turn), write); err == nil {
-				l.cache.add(t.Turn, t.Previous, text)
+				l.cache.add(t, text)
 			}
 			return err
 		}
@@ -248,7 +267,7 @@
 // storeTransaction returns the transaction that stores a turn, its text and its
 // row in the given part of the index.
 func storeTransaction(t Turn, text []byte, write string, index int) (rows.Transaction, error) {
-	row := turnRow{Previous: t.Previous, Index: index, Write: write}
+	row := turnRow{Previous: t.Previous, Account: t.Account, Index: index, Write: write}
 	var puts []rows.Put
 	for chunk := range slices.Chunk(text, maxChunkBytes) {
 		puts = append(puts, rows.Put{ID: textID(t.Program, t.Turn, row.Chunks), Value: chunk})
--- a/internal/ledger/recent.go
+++ b/internal/ledger/recent.go
@@ -31,6 +31,7 @@
 
 type cachedTurn struct {
 	previous ident.RequestID
+	account  ident.AccountID
 	text     []byte
 	at       time.Time
 }
@@ -42,23 +43,23 @@
 }
 
 // add caches a stored turn, unless its text is too long.
-func (c turnCache) add(t, previous ident.RequestID, text []byte) {
+func (c turnCache) add(t Turn, text []byte) {
 	if len(text) <= maxCachedTurnBytes {
-		c.turns.Add(t, cachedTurn{previous: previous, text: bytes.Clone(text), at: c.timers.Now()})
+		c.turns.Add(t.Turn, cachedTurn{previous: t.Previous, account: t.Account, text: bytes.Clone(text), at: c.timers.Now()})
 	}
 }
 
-// history returns the text of a turn and of all turns before it, false if one of
-// them is not cached or is too old.
-func (c turnCache) history(t ident.RequestID) ([]byte, bool) {
+// history returns the text of all turns before a turn, false if one of them is not
+// cached, is too old, or must not be continued by the turn.
+func (c turnCache) history(t Turn) ([]byte, bool) {
 	var texts [][]byte
-	for t != "" {
-		turn, ok := c.turns.Get(t)
-		if !ok || c.timers.Now().Sub(turn.at) > maxCachedTurnAge {
+	for previous := t.Previous; previous != ""; {
+		turn, ok := c.turns.Get(previous)
+		if !ok || c.timers.Now().Sub(turn.at) > maxCachedTurnAge || !t.mayContinue(turn.account) {
 			return nil, false
 		}
 		texts = append(texts, turn.text)
-		t = turn.previous
+		previous = turn.previous
 	}
 	slices.Reverse(texts)
 	return slices.Concat(texts...), true
--- a/internal/ledger/rows.go
+++ b/internal/ledger/rows.go
@@ -34,6 +34,8 @@
 // turnRow is the stored form of a turn.
 type turnRow struct {
 	Previous ident.RequestID `json:"previous,omitempty"`
+	// Account is the client account of the turn, empty if it has none.
+	Account ident.AccountID `json:"account,omitempty"`
 	// Chunks is the number of rows with the turn's text.
 	Chunks int `json:"chunks"`
 	// Index is the number of the part that has the turn's index row.
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -70,20 +71,33 @@
 	}
 })
 
-// Guards against a settings template for the users' platform that the daemon
-// rejects, or that maps a value of the platform to the wrong key.
-var _ = It("loads the template of the platform", func() {
-	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
-	Expect(err).NotTo(HaveOccurred())
-	text := strings.NewReplacer(
+// fillTemplate fills in the values of the platform, except for the revocation limit.
+func fillTemplate(template string) string {
+	return strings.NewReplacer(
 		"{{nodeName|json}}", `"edge-1"`, "{{zone|json}}", `"kl-a"`, "{{region|json}}", `"semenanjung"`,
 		"{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
 		"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
 		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "4000", "{{bounds.configApplyMs}}", "3000",
 		"{{#zones}}\n", "", "{{/zones}}\n", "", "{{@}} = {{.|json}}", `kl-a = "semenanjung"`,
-	).Replace(string(template))
-	s, err := loader.New().Parse("settings.toml", text)
+	).Replace(template)
+}
+
+// Guards against a settings template for the users' platform that the daemon
+// rejects, or that maps a value of the platform to the wrong key.
+var _ = It("loads the template of the platform", func() {
+	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	Expect(err).NotTo(HaveOccurred())
+	strictRevocation := regexp.MustCompile(`\{\{#bounds\.strictRevocation\}\}(.*?)\{\{/bounds\.strictRevocation\}\}`)
+	render := func(section string) string {
+		return fillTemplate(strictRevocation.ReplaceAllString(string(template), section))
+	}
+	strict, err := loader.New().Parse("settings.toml", strings.ReplaceAll(render("$1"), "{{bounds.revokeMs}}", "5000"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(strict.Ingress.RevocationLimit).To(Equal(5 * time.Second))
+	Expect(render("")).NotTo(ContainSubstring("revocation"))
+	s, err := loader.New().Parse("settings.toml", render(""))
 	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Ingress.RevocationLimit).To(BeZero())
 	Expect(s.CallerAddress.IsValid()).To(BeFalse())
 	Expect(s.Ingress.Requests.String()).To(Equal("127.0.0.1:1"))
 	Expect(s.Ingress.Grace).To(Equal(8 * time.Second))
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -7,6 +7,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
@@ -19,6 +20,7 @@
 	// Err is nil if the read succeeded; Page then reflects a time after SentAt.
 	Err    error
 	SentAt time.Time
+	Timing ReadTiming
 }
 
 // RowsChanged reports the result of effect.WatchRows.
@@ -27,8 +29,24 @@
 	Page   rows.Page
 	Err    error
 	SentAt time.Time
+	Timing ReadTiming
 }
 
+// ReadTiming has the circumstances of a read by which the age of its answer can be
+// proved.
+type ReadTiming struct {
+	// Sent and Received are the times at which the read was sent and its answer arrived.
+	Sent, Received timer.BootTime
+	// Known is the highest version that this VM had seen in an answer of the store before
+	// the read was sent. It is 0 as long as the store has confirmed no write of this
+	// process: until then, all answers may come from an old state of the store.
+	Known rows.Version
+}
+
+// RoutesDoubted requests a read of the routes, because a traffic goroutine needs routes
+// that are proved to be newer.
+type RoutesDoubted struct{}
+
 // RowsWritten reports the result of effect.WriteRows.
 type RowsWritten struct {
 	Transaction rows.Transaction
@@ -119,6 +137,8 @@
 	Ticket ident.Ticket
 	Pool   ident.PoolID
 	Route  *routing.Route
+	// Priority is the rank of the call; 0 is the highest.
+	Priority int
 	// Affinity is the key of state that upstreams keep in memory; calls with the
 	// same key should reach the same upstream. It is empty for no affinity.
 	Affinity string
@@ -176,6 +196,7 @@
 
 func (RowsRead) sealed()              {}
 func (RowsChanged) sealed()           {}
+func (RoutesDoubted) sealed()         {}
 func (RowsWritten) sealed()           {}
 func (RoutesChanged) sealed()         {}
 func (UpstreamsRead) sealed()         {}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -40,6 +40,7 @@
 	teams      labelLimiter
 	classes    labelLimiter
 	outcomes   labelLimiter
+	accounts   accountLabeler
 	series     map[seriesKey]*series
 
 	crossedAnswers *metrics.Counter
@@ -72,6 +73,7 @@
 		option(m)
 	}
 	m.teams, m.classes, m.outcomes = newLabelLimiter(m.maxTeams), newLabelLimiter(m.maxClasses), newLabelLimiter(maxOutcomes)
+	m.accounts = newAccountLabeler()
 	m.crossedAnswers = m.set.NewCounter("sassafrasspur_crossed_answers_total")
 	m.controlLoop = m.set.NewPrometheusHistogramExt("sassafrasspur_control_loop_seconds", controlLoopBuckets)
 	return m
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -59,6 +59,8 @@
 			func(s Target, v time.Duration) { s.Ingress.DrainLimit = v }}},
 		{"ingress", "routes_limit", unitDuration, "2500ms", "time within which a new version of the routes must take effect", Duration{time.Second, time.Minute, 0,
 			func(s Target, v time.Duration) { s.Ingress.RoutesLimit = v }}},
+		{"ingress", "revocation_limit", unitDuration, "", "time after which a removed key of a client account must no longer be used by any VM; without it, keys are used however old the routes are", Duration{2 * time.Second, time.Minute, 0,
+			func(s Target, v time.Duration) { s.Ingress.RevocationLimit = v }}},
 
 		{"freshness", "configuration", unitDuration, "5s", "age of the configuration above which new work is refused", Duration{100 * ms, 5 * time.Second, 0,
 			func(s Target, v time.Duration) { s.Freshness.Configuration = v }}},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,9 @@
 	// RoutesLimit is the time within which a new version of the routes must take
 	// effect.
 	RoutesLimit time.Duration
+	// RevocationLimit is the time after which a key that was removed must no longer be
+	// used by any VM, 0 if keys are used however old the routes are.
+	RevocationLimit time.Duration
 }
 
 // Platform configures access to the users' platform.
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
@@ -14,6 +15,11 @@
 	// Routes is nil until the first version has been read.
 	Routes     *routing.Table
 	RoutesAsOf time.Time
+	// RoutesProvenAt is the latest time at which the store is proved to have held no
+	// newer version of the routes, 0 if there is no proof.
+	RoutesProvenAt timer.BootTime
+	// RoutesUnanswered is true if the last read of the routes failed.
+	RoutesUnanswered bool
 	// Members has the entry VMs that serve callers, including this one.
 	Members []Member
 	// Present has the entry VMs whose process runs, including those that are leaving
--- a/internal/storeworker/storeworker.go
+++ b/internal/storeworker/storeworker.go
@@ -19,6 +19,8 @@
 	store  rows.Store
 	peers  Peers
 	timers *timer.Service
+	// knownVersion returns the highest version seen in an answer of the store.
+	knownVersion func() rows.Version
 }
 
 // Peers queries other entry VMs for what they read from the store.
@@ -36,9 +38,15 @@
 // effects FetchUpstreams and FetchMembers.
 func WithPeers(peers Peers) Option { return func(w *Storeworker) { w.peers = peers } }
 
+// WithKnownVersion sets the source of message.ReadTiming.Known. Without it, no answer
+// proves its age.
+func WithKnownVersion(known func() rows.Version) Option {
+	return func(w *Storeworker) { w.knownVersion = known }
+}
+
 // New returns a worker whose requests are cancelled when ctx is done.
 func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Storeworker {
-	w := &Storeworker{ctx: ctx, store: store, timers: timers}
+	w := &Storeworker{ctx: ctx, store: store, timers: timers, knownVersion: func() rows.Version { return 0 }}
 	for _, option := range options {
 		option(w)
 	}
@@ -49,16 +57,19 @@
 // effect runners are ignored.
 func (w *Storeworker) Perform(e effect.Effect, post func(message.Message)) {
 	sentAt := w.timers.Now()
+	timing := message.ReadTiming{Sent: w.timers.Boot(), Known: w.knownVersion()}
 	switch e := e.(type) {
 	case effect.ReadRows:
 		go func() {
 			page, err := w.store.Read(w.ctx, e.Range)
-			post(message.RowsRead{Range: e.Range, Page: page, Err: err, SentAt: sentAt})
+			timing.Received = w.timers.Boot()
+			post(message.RowsRead{Range: e.Range, Page: page, Err: err, SentAt: sentAt, Timing: timing})
 		}()
 	case effect.WatchRows:
 		go func() {
 			page, err := w.store.Changes(w.ctx, e.Table, e.After, e.Wait)
-			post(message.RowsChanged{Table: e.Table, Page: page, Err: err, SentAt: sentAt})
+			timing.Received = w.timers.Boot()
+			post(message.RowsChanged{Table: e.Table, Page: page, Err: err, SentAt: sentAt, Timing: timing})
 		}()
 	case effect.FetchUpstreams:
 		go func() {
--- a/internal/timer/manual.go
+++ b/internal/timer/manual.go
@@ -7,9 +7,13 @@
 
 // Manual is a clock for tests that only advances when a test advances it.
 type Manual struct {
-	mu      sync.Mutex
-	now     time.Time
-	waiting map[*manualTimer]struct{}
+	mu    sync.Mutex
+	start time.Time
+	now   time.Time
+	// suspended is the time for which the VM was suspended. The clock does not show
+	// it, its boot time does.
+	suspended time.Duration
+	waiting   map[*manualTimer]struct{}
 	// autoAdvance is true if the clock advances to each time that is subscribed to.
 	autoAdvance bool
 }
@@ -21,7 +25,7 @@
 
 // NewManual returns a clock that is set to start.
 func NewManual(start time.Time) *Manual {
-	return &Manual{now: start, waiting: map[*manualTimer]struct{}{}}
+	return &Manual{start: start, now: start, waiting: map[*manualTimer]struct{}{}}
 }
 
 // NewAutoAdvancing returns a clock that is set to start and advances to each time that is
@@ -52,6 +56,21 @@
 	}
 }
 
+// Suspend advances the boot time only, as if the VM had been suspended.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.suspended += d
+}
+
+// boot returns the boot time. It begins at an hour, so that readings before the start of
+// a test are not negative.
+func (m *Manual) boot() BootTime {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return BootTime(time.Hour + m.now.Sub(m.start) + m.suspended)
+}
+
 // Waiting returns the number of pending subscriptions.
 func (m *Manual) Waiting() int {
 	m.mu.Lock()
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -94,6 +94,9 @@
 	Pool     ident.PoolID
 	// Account is nil if the request has none.
 	Account *clientaccount.Account
+	// AccountsListed is true if a configuration that was read for the exchange lists
+	// client accounts.
+	AccountsListed bool
 	// Body is the request body sent to the upstream.
 	Body []byte
 	// Responder receives the answer.
@@ -111,6 +114,14 @@
 	return x.Route.Priority
 }
 
+// AccountID returns the name of the account, empty if the request has none.
+func (x *Exchange) AccountID() ident.AccountID {
+	if x.Account == nil {
+		return ""
+	}
+	return x.Account.ID
+}
+
 // Fingerprint returns a hash of the host, method, target and body that the upstream
 // receives. The body of a turn that continues others begins with them.
 func (x *Exchange) Fingerprint() ident.Fingerprint {
@@ -144,6 +155,8 @@
 	UpstreamLimit unit.Rate
 	// ListAge is the age of the list that the last upstream was chosen from.
 	ListAge time.Duration
+	// ConfigurationAge is the age of the configuration by which the key was last checked.
+	ConfigurationAge time.Duration
 }
 
 // Responder sends the answer of an exchange to the caller. Its methods return an error
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -20,6 +20,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// AccountsListed is true if the configuration lists client accounts. Then what the
+	// caller sent as its key or as the name of an account is not passed on.
+	AccountsListed bool
+	// Account is the client account that the upstream is told, empty for none.
+	Account ident.AccountID
 	// TimeLeft is the remaining time in which the upstream may work on the call.
 	TimeLeft time.Duration
 	// Urgency is the call's rank among the calls at its engine.
--- a/node.go
+++ b/node.go
@@ -33,6 +33,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/stopper"
 	"github.com/sassafrasspur/sassafrasspur/internal/sweeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/versionobserver"
 	"github.com/sassafrasspur/sassafrasspur/internal/viewer"
 	"github.com/sassafrasspur/sassafrasspur/platform"
 )
@@ -64,6 +65,8 @@
 	// it is the same as platformStore.
 	platformStore *platform.Store
 	store         rows.Store
+	// versions has the highest version of the store that this VM has seen.
+	versions *versionobserver.Versionobserver
 	// peers and budgets are nil if the VM has no address for other entry VMs.
 	peers   *peerlink.Peerlink
 	budgets *escrow.Escrow
@@ -101,7 +104,9 @@
 	n.log.Started(n.CallerAddress(), n.requestAddress())
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	n.platformStore = platform.NewStore(s.Platform.StoreAddress.String(), platform.WithObserver(n.observeStore))
+	n.versions = versionobserver.New()
+	n.platformStore = platform.NewStore(s.Platform.StoreAddress.String(), platform.WithObserver(n.observeStore),
+		platform.WithVersionObserver(n.versions.Observe))
 	n.store = n.platformStore
 	n.sweeper = sweeper.New(ctx, n.platformStore, rowfinder.New(n.platformStore, n.timers), n.timers, s.VM, n.isLeader,
 		n.errorLogger("sweep failed"), sweeper.WithRetention(n.retention()))
@@ -172,7 +177,8 @@
 // startPeering starts the components that communicate with other entry VMs.
 func (n *Node) startPeering(ctx context.Context) {
 	n.peers = peerlink.New(n.platformStore, n.timers, n.errorLogger("peer failed"))
-	n.store = relay.New(n.platformStore, n.peers, n.timers, n.self(), func() []snapshot.Member { return n.view().Members })
+	n.store = n.versions.Observed(
+		relay.New(n.platformStore, n.peers, n.timers, n.self(), func() []snapshot.Member { return n.view().Members }))
 	n.budgets = escrow.New(ctx, n.store, n.timers,
 		escrow.WithOnError(n.errorLogger("budget not settled")), escrow.WithOnUse(n.sweeper.MarkUsed))
 }
