--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -110,7 +110,7 @@
 		return s.reader.Handle(now, m)
 	case message.RowsRead:
 		if s.reader.IsAnswer(m) {
-			if s.confirming = false; !s.watching {
+			if s.confirming = false; !s.watching && m.Err == nil {
 				// The rows are those of the table, not of the feed.
 				s.storeVersion = m.Page.Version
 			}
