--- a/internal/keychecker/keychecker.go
+++ b/internal/keychecker/keychecker.go
@@ -114,6 +114,7 @@
 // needed and may arrive in time.
 func (k *Keychecker) decide(ctx context.Context, x *traffic.Exchange, judge func(snapshot.Entry, *traffic.Exchange) verdict) error {
 	var timeout <-chan time.Time
+	expired := false
 	for {
 		changed := k.control.Changed()
 		entry := k.control.Snapshot().Entry
@@ -132,14 +133,18 @@
 				timeout = wait.C
 				k.control.Post(message.RoutesDoubted{})
 			}
-			x.Account = v.account
-			if entry.RoutesUnanswered {
+			if v.account != nil {
+				// The log of the refusal has the account.
+				x.Account = v.account
+			}
+			if expired || entry.RoutesUnanswered {
 				return v.err
 			}
 			select {
 			case <-changed:
 			case <-timeout:
-				return v.err
+				// A proof may have arrived at the same moment.
+				expired = true
 			case <-ctx.Done():
 				return v.err
 			}
