--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -31,13 +31,15 @@
 type deployment struct {
 	log *logBuffer
 	// grace is the time within which entry VMs must shut down.
-	grace    time.Duration
-	rowStore *rowstore.Rowstore
-	store    *httptest.Server
-	replicas map[ident.UpstreamID]*replica.Replica
-	vms      []*vm
-	servers  []*httptest.Server
-	client   *http.Client
+	grace time.Duration
+	// revocationLimit is 0 if revocation is not strict.
+	revocationLimit time.Duration
+	rowStore        *rowstore.Rowstore
+	store           *httptest.Server
+	replicas        map[ident.UpstreamID]*replica.Replica
+	vms             []*vm
+	servers         []*httptest.Server
+	client          *http.Client
 }
 
 // vm is an entry VM that runs until stop is called. The result is sent to done.
@@ -152,7 +154,7 @@
 	s := settings.Settings{
 		VM: ident.VMID(name), Domain: "domain", Region: "region", Regions: map[ident.Domain]ident.Region{"domain": "region"},
 		PeerAddress: freeAddress(g), MetricsAddress: freeAddress(g),
-		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace, DrainLimit: propagationLimit, RoutesLimit: propagationLimit},
+		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace, DrainLimit: propagationLimit, RoutesLimit: propagationLimit, RevocationLimit: d.revocationLimit},
 		Platform: settings.Platform{StoreAddress: netip.MustParseAddrPort(d.store.Listener.Addr().String())},
 	}
 	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(d.log))
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +54,8 @@
 	Body     string
 	After    ident.EventID
 	TimeLeft time.Duration
+	// Key and Account are the key and the name of a client account that the request had.
+	Key, Account string
 }
 
 // Replica serves requests of one pool.
@@ -130,6 +133,7 @@
 	run := Run{
 		Request: ident.RequestID(id), Target: request.RequestURI, Body: string(body),
 		After: ident.EventID(headerInteger(request, "Last-Event-Id")),
+		Key:   strings.Join(request.Header.Values("X-Key"), ","), Account: strings.Join(request.Header.Values("X-Tenant"), ","),
 	}
 	run.TimeLeft = time.Duration(headerInteger(request, "X-Deadline-Ms")) * time.Millisecond
 	behaviour, limit := r.decideAndRecord(run)
