--- a/internal/subscriber/proof_test.go
+++ b/internal/subscriber/proof_test.go
@@ -40,7 +40,7 @@
 // controller. A line has the time that passes, for how much of it the VM was suspended,
 // and an answer: how long the read took, the highest version known when it was sent, the
 // version of the answer, how old its state is, and a row.
-func newProofDecider(t *testing.T) func(line string) string {
+func newProofDecider() func(line string) string {
 	start := time.Unix(0, 0)
 	clock := timer.NewManual(start)
 	timers := timer.New(timer.WithManual(clock))
@@ -101,5 +101,5 @@
 // received. It also guards against proofs that lapse although the store answers, and
 // against shorter watches where revocation is not strict.
 func TestProofs(t *testing.T) {
-	NewWithT(t).Expect(goldentest.Check("testdata/proofs/*.txtar", newProofDecider(t))).To(Succeed())
+	NewWithT(t).Expect(goldentest.Check("testdata/proofs/*.txtar", newProofDecider())).To(Succeed())
 }
