--- a/internal/meter/account.go
+++ b/internal/meter/account.go
@@ -45,7 +45,7 @@
 	}
 	l.candidates[account]++
 	count := l.candidates[account]
-	if count >= minAccountExchanges && float64(count) >= minAccountShare*float64(l.exchanges) && len(l.labels.labels) < maxAccounts {
+	if count >= minAccountExchanges && float64(count) >= minAccountShare*float64(l.exchanges) {
 		delete(l.candidates, account)
 		return l.labels.label(string(account))
 	}
--- a/internal/meter/account_test.go
+++ b/internal/meter/account_test.go
@@ -18,6 +18,9 @@
 	for i := range 30_000 {
 		m.ObserveAccount(ident.AccountID(fmt.Sprint("small-", i)), "answered")
 	}
+	for range 25 {
+		m.ObserveAccount("small-29999", "answered")
+	}
 	for range 2_000 {
 		m.ObserveAccount("large", "answered")
 	}
