quotakeeper: let the oracle draw faults of keepers

The faults of the oracle hit VMs at random, so that it found none of five removed mechanisms. It now draws keepers, keeps the account quiet until the first fault, and lets callers send ten times the quota. A refusal of any kind limits new programs.

--- a/internal/quotakeeper/bucket.go
+++ b/internal/quotakeeper/bucket.go
@@ -53,7 +53,7 @@
 	// granted in the return horizon been used. Tokens granted before it can't be
 	// returned: they would have overflowed.
 	fullAt time.Time
-	// shortAt is the last time at which a request was refused for lack of tokens.
+	// shortAt is the last time at which a request was refused.
 	shortAt time.Time
 	// programs is the number of requests that new programs may still cause, counting all
 	// their requests when they begin. It is negative while programs under way are
@@ -161,7 +161,7 @@
 		b.level -= float64(g.Spare)
 	}
 	b.granted += float64(g.First + g.Further + g.Spare)
-	if b.level < 1 && g.First+g.Further < r.First+r.Further {
+	if g.First+g.Further < r.First+r.Further {
 		b.shortAt = b.at
 	}
 	if g.Further < r.Further {
--- a/internal/quotakeeper/oracle_test.go
+++ b/internal/quotakeeper/oracle_test.go
@@ -66,7 +66,7 @@
 func (f *fleet) startVM(v *fleetVM) {
 	v.running, v.leaving = true, false
 	v.keeper = quotakeeper.New(v.member.VM, len(f.regions), limits)
-	v.wroteAt, v.assigner = f.now, quotaassigner.New([]snapshot.Member{v.member})
+	v.assigner = quotaassigner.New([]snapshot.Member{v.member})
 	v.nextRead = f.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(f.t, "phase")) * time.Millisecond)
 	v.quota, v.version = f.quota, f.version
 }
@@ -146,14 +146,18 @@
 // disturb applies a random fault.
 func (f *fleet) disturb() {
 	v := rapid.SampledFrom(f.vms).Draw(f.t, "vm")
-	until := f.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(f.t, "for")) * time.Millisecond)
-	switch rapid.IntRange(0, 5).Draw(f.t, "fault") {
+	keeper, _ := quotaassigner.New(f.listed(nil)).Keeper("kantor", rapid.SampledFrom(f.regions).Draw(f.t, "part"))
+	i := slices.IndexFunc(f.vms, func(o *fleetVM) bool { return o.member.VM == keeper.VM })
+	if i >= 0 && rapid.IntRange(0, 3).Draw(f.t, "of a keeper") > 0 {
+		v = f.vms[i]
+	}
+	until := f.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(f.t, "for")) * time.Millisecond)
+	switch rapid.IntRange(0, 6).Draw(f.t, "fault") {
 	case 0:
 		v.running = false
 	case 1:
-		if !v.running {
-			f.startVM(v)
-		}
+		// A VM that stops without leaving and starts again at once has its row.
+		f.startVM(v)
 	case 2:
 		v.frozenUntil = until
 	case 3:
@@ -163,6 +167,12 @@
 			o.cutUntil = until
 		}
 	case 5:
+		// All VMs start again, after their rows have expired.
+		for _, o := range f.vms {
+			f.startVM(o)
+			o.wroteAt = time.Time{}
+		}
+	case 6:
 		v.leaving = true
 		if v.active(f.now) {
 			v.assigner = quotaassigner.New(f.listed(v))
@@ -173,8 +183,8 @@
 
 func drawQuota(t *rapid.T) clientaccount.Quota {
 	return clientaccount.Quota{
-		Rate:  unit.Rate(rapid.SampledFrom([]float64{1, 2, 5, 20, 60}).Draw(t, "rate")),
-		Burst: rapid.SampledFrom([]int{0, 2, 10, 40}).Draw(t, "burst"),
+		Rate:  unit.Rate(rapid.SampledFrom([]float64{1, 2, 20, 60}).Draw(t, "rate")),
+		Burst: rapid.SampledFrom([]int{0, 5, 40, 400}).Draw(t, "burst"),
 	}
 }
 
@@ -186,7 +196,9 @@
 		f := newFleet(t, rapid.IntRange(1, 6).Draw(t, "VMs of a region"), drawQuota(t))
 		quota, lowered := f.quota, time.Time{}
 		lifetime := int(limits.TokenLifetime() / time.Millisecond)
-		faultAt := rapid.SliceOfN(rapid.IntRange(200, 1800), 0, 8).Draw(t, "faults at")
+		faultAt := rapid.SliceOfN(rapid.IntRange(400, 1200), 1, 6).Draw(t, "faults at")
+		// An account that is quiet until the first fault has full buckets then.
+		quiet := slices.Min(faultAt) - rapid.IntRange(1, 60).Draw(t, "requests before the fault")
 		lowerAt := rapid.IntRange(600, 3000).Draw(t, "limit falls at")
 		seed := rapid.Uint64().Draw(t, "seed")
 		random := func(n int) int { seed = seed*6364136223846793005 + 1442695040888963407; return int(seed>>33) % n }
@@ -200,7 +212,10 @@
 				f.quota.Rate, f.quota.Burst = f.quota.Rate/4, f.quota.Burst/4
 				f.version, lowered = 2, f.now
 			}
-			for range 1 + int(float64(quota.Rate)*step.Seconds()*3) {
+			for range 1 + int(float64(quota.Rate)*step.Seconds()*10) {
+				if i < quiet {
+					break
+				}
 				if v := f.vms[random(len(f.vms))]; v.active(f.now) {
 					f.request(v, random(3) == 0, func() time.Duration { return time.Duration(random(lifetime)) * time.Millisecond },
 						func() bool { return random(20) == 0 })
