settings: bounds of the quotas of client accounts

The platform states a window, an overage and a slack for the quotas of client accounts, which the settings had no keys for. The overage is a number, a new kind.

Measured: the tests of settings and loader pass; the template is loaded with and without the three values.

--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/loader"
 	"github.com/sassafrasspur/sassafrasspur/internal/router"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -75,20 +77,26 @@
 var _ = It("loads the template of the platform", func() {
 	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
 	Expect(err).NotTo(HaveOccurred())
-	text := strings.NewReplacer(
+	withQuotas := regexp.MustCompile(`(?s)\{\{#bounds\.quota\w+\}\}\n(.*?)\{\{/bounds\.quota\w+\}\}\n`)
+	quotas := strings.NewReplacer(`quota_window = "{{.}}s"`, `quota_window = "10s"`, "quota_overage = {{.}}", "quota_overage = 1", "quota_slack = {{.}}", "quota_slack = 30")
+	values := strings.NewReplacer(
 		"{{nodeName|json}}", `"edge-1"`, "{{zone|json}}", `"kl-a"`, "{{region|json}}", `"semenanjung"`,
 		"{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
 		"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
 		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "4000", "{{bounds.configApplyMs}}", "3000",
 		"{{#zones}}\n", "", "{{/zones}}\n", "", "{{@}} = {{.|json}}", `kl-a = "semenanjung"`,
-	).Replace(string(template))
-	s, err := loader.New().Parse("settings.toml", text)
+	)
+	absent, err := loader.New().Parse("settings.toml", values.Replace(withQuotas.ReplaceAllString(string(template), "")))
+	Expect(err).NotTo(HaveOccurred())
+	Expect([]any{absent.Ingress.QuotaWindow, absent.Ingress.QuotaOverage, absent.Ingress.QuotaSlack}).To(Equal([]any{5 * time.Second, unit.Ratio(0.1), 20}))
+	s, err := loader.New().Parse("settings.toml", values.Replace(quotas.Replace(withQuotas.ReplaceAllString(string(template), "$1"))))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(s.CallerAddress.IsValid()).To(BeFalse())
 	Expect(s.Ingress.Requests.String()).To(Equal("127.0.0.1:1"))
 	Expect(s.Ingress.Grace).To(Equal(8 * time.Second))
 	Expect(s.Ingress.DrainLimit).To(Equal(4 * time.Second))
 	Expect(s.Ingress.RoutesLimit).To(Equal(3 * time.Second))
+	Expect([]any{s.Ingress.QuotaWindow, s.Ingress.QuotaOverage, s.Ingress.QuotaSlack}).To(Equal([]any{10 * time.Second, unit.Ratio(1), 30}))
 	Expect(s.Regions).To(HaveKeyWithValue(ident.Domain("kl-a"), ident.Region("semenanjung")))
 	Expect(s.PeerAddress.String()).To(Equal("127.0.0.1:7380"))
 })
--- a/internal/loader/value.go
+++ b/internal/loader/value.go
@@ -23,6 +23,9 @@
 	if kind, ok := key.Kind.(settings.Integer); ok {
 		return assignInteger(kind, target, value)
 	}
+	if kind, ok := key.Kind.(settings.Fraction); ok {
+		return assignFraction(kind, target, value)
+	}
 	if text, ok := value.(string); ok {
 		return assignText(key, target, text)
 	}
@@ -71,6 +74,22 @@
 	return ""
 }
 
+func assignFraction(kind settings.Fraction, target settings.Target, value any) string {
+	number, ok := value.(float64)
+	if whole, isWhole := value.(int64); isWhole {
+		number, ok = float64(whole), true
+	}
+	switch {
+	case !ok:
+		return fmt.Sprintf("is not a number; write one without quotes (%s)", settings.Bounds(kind))
+	// The negated comparison also refuses a value that is not a number.
+	case !(number >= kind.Min && number <= kind.Max):
+		return fmt.Sprintf("%v is out of range; use %s", number, settings.Bounds(kind))
+	}
+	kind.Set(target, number)
+	return ""
+}
+
 func assignAddress(kind settings.Address, target settings.Target, text string) string {
 	address, err := netip.ParseAddrPort(text)
 	switch {
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -68,6 +68,8 @@
 		return text
 	case Integer:
 		return fmt.Sprintf("%d to %d", k.Min, k.Max)
+	case Fraction:
+		return fmt.Sprintf("%v to %v", k.Min, k.Max)
 	case Choice:
 		return strings.Join(k.Values, ", ")
 	case Credential:
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -59,6 +59,12 @@
 			func(s Target, v time.Duration) { s.Ingress.DrainLimit = v }}},
 		{"ingress", "routes_limit", unitDuration, "2500ms", "time within which a new version of the routes must take effect", Duration{time.Second, time.Minute, 0,
 			func(s Target, v time.Duration) { s.Ingress.RoutesLimit = v }}},
+		{"ingress", "quota_window", unitDuration, "5s", "sliding window over which the quota of a client account bounds its requests on all VMs together", Duration{100 * ms, time.Hour, 0,
+			func(s Target, v time.Duration) { s.Ingress.QuotaWindow = v }}},
+		{"ingress", "quota_overage", "fraction", 0.1, "share by which the requests of a window may exceed what the quota allows in it; tokens live for half of this share of the window, 30 to 250 ms", Fraction{0, 10,
+			func(s Target, v float64) { s.Ingress.QuotaOverage = unit.Ratio(v) }}},
+		{"ingress", "quota_slack", "requests", int64(20), "number of requests by which those of a window may exceed the quota beside the overage", Integer{0, math.MaxInt32,
+			func(s Target, v int64) { s.Ingress.QuotaSlack = int(v) }}},
 
 		{"freshness", "configuration", unitDuration, "5s", "age of the configuration above which new work is refused", Duration{100 * ms, 5 * time.Second, 0,
 			func(s Target, v time.Duration) { s.Freshness.Configuration = v }}},
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -8,8 +8,8 @@
 )
 
 // Kind is the type of a key's value, with the function that stores it. The
-// interface is sealed: the variants are Name, Address, Duration, Integer, Choice
-// and Credential.
+// interface is sealed: the variants are Name, Address, Duration, Integer,
+// Fraction, Choice and Credential.
 type Kind interface{ sealed() }
 
 type (
@@ -33,6 +33,11 @@
 		Min, Max int64
 		Set      func(Target, int64)
 	}
+	// Fraction is a number, with or without a decimal point.
+	Fraction struct {
+		Min, Max float64
+		Set      func(Target, float64)
+	}
 	// Choice is one of several fixed strings.
 	Choice struct {
 		Values []string
@@ -49,6 +54,7 @@
 func (Address) sealed()    {}
 func (Duration) sealed()   {}
 func (Integer) sealed()    {}
+func (Fraction) sealed()   {}
 func (Choice) sealed()     {}
 func (Credential) sealed() {}
 
@@ -68,7 +74,8 @@
 	Table string
 	Name  string
 	Unit  string
-	// Default is the value of a missing key, a string or an int64. A key without
+	// Default is the value of a missing key, a string, an int64 or a
+	// float64. A key without
 	// a default is required.
 	Default any
 	Purpose string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,12 @@
 	// RoutesLimit is the time within which a new version of the routes must take
 	// effect.
 	RoutesLimit time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a client account
+	// beyond its quota: in each window on all VMs together, at most (rate × window +
+	// burst) × (1 + overage) + slack requests may run.
+	QuotaWindow  time.Duration
+	QuotaOverage unit.Ratio
+	QuotaSlack   int
 }
 
 // Platform configures access to the users' platform.
