quotaenforcer: enforce quotas of client accounts

Requests of an account were not limited. The filter takes a token while the turn is prepared, and the forwarder waits for it before each run; what the quota does not allow is refused with 429 as not run, and with 503 if no keeper can be asked. Keepers are asked over peerlink (quota.take).

--- a/chain.go
+++ b/chain.go
@@ -12,6 +12,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/quarantiner"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/quotaenforcer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/routematcher"
@@ -56,6 +57,7 @@
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
 		routematcher.New(n.control.Snapshot, n.timers, subscriber.MaxAge(n.settings.Ingress.RoutesLimit)),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
+		quotaenforcer.New(n.ingressAPI.quotaTaker, n.log.Zerolog(), n.meter),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
 		// A request is recognized by its whole body, which the turnrecorder composes.
--- a/ingress_api.go
+++ b/ingress_api.go
@@ -9,6 +9,11 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/enroller"
+	"github.com/sassafrasspur/sassafrasspur/internal/quotaassigner"
+	"github.com/sassafrasspur/sassafrasspur/internal/quotagranter"
+	"github.com/sassafrasspur/sassafrasspur/internal/quotakeeper"
+	"github.com/sassafrasspur/sassafrasspur/internal/quotataker"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/stopper"
 	"github.com/sassafrasspur/sassafrasspur/platform"
 	"github.com/sassafrasspur/sassafrasspur/unit"
@@ -48,6 +53,22 @@
 type ingressAPI struct {
 	upstreamConnector *connector.Connector
 	server            *stopper.Stopper
+	// quotaGranter grants tokens from the quotas that this VM keeps, quotaTaker takes
+	// those of its own requests.
+	quotaGranter *quotagranter.Granter
+	quotaTaker   *quotataker.Taker
+}
+
+// startQuotas starts the parts that share the quotas of client accounts among VMs.
+func (i *ingressAPI) startQuotas(ctx context.Context, n *Node) {
+	s := n.settings
+	limits := quotakeeper.Limits{Window: s.Ingress.QuotaWindow, Overage: s.Ingress.QuotaOverage, Slack: s.Ingress.QuotaSlack}
+	parts := quotaassigner.Regions(s.Regions)
+	// The configuration counts as proven, since the age of its proof is not known yet.
+	proven := func() bool { return true }
+	i.quotaGranter = quotagranter.New(ctx, quotakeeper.New(s.VM, len(parts), limits), n.control, n.timers, proven)
+	i.quotaTaker = quotataker.New(s.VM, quotataker.Order(parts, s.Region), limits.TokenLifetime(), i.quotaGranter, n.peers, n.timers,
+		func() []snapshot.Member { return n.view().Members })
 }
 
 // finishBy returns the time after the shutdown request by which requests must have
@@ -59,6 +80,7 @@
 // serve starts the HTTP servers for callers, readiness checks and address look-ups.
 func (i *ingressAPI) serve(ctx context.Context, n *Node) {
 	go i.sweepIdle(ctx, n)
+	i.startQuotas(ctx, n)
 	leaving := func() bool { return n.view().Leaving }
 	ready := func() bool { return n.view().Routes != nil && !n.view().Leaving }
 	addresses := func(d ident.Domain, r ident.Region) []string { return enroller.Addresses(n.view().Members, d, r) }
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -59,8 +59,10 @@
 	// written is the state in the last row that was sent, at writtenAt.
 	written   rowState
 	writtenAt time.Time
-	// stored is the state in the row that the store confirmed, nil if there is none.
-	stored *rowState
+	// stored is the state in the row that the store confirmed, nil if there is none. The
+	// last confirmed row was sent at storedAt.
+	stored   *rowState
+	storedAt time.Time
 }
 
 // rowState is the part of a row that changes while its VM runs.
@@ -246,7 +248,7 @@
 	}
 	switch o := m.Outcome.(type) {
 	case rows.Committed:
-		e.version = o.Version
+		e.version, e.storedAt = o.Version, e.writtenAt
 	case rows.Conflict:
 		row, _ := rows.Find(o.Rows, own.ID)
 		e.version, e.writtenAt = row.Version, time.Time{}
@@ -269,7 +271,7 @@
 // Describe adds the members to a snapshot. Before the first read, this VM is the
 // only member.
 func (e *Enroller) Describe(view *snapshot.Snapshot) {
-	view.Entry.Enrolled = e.stored != nil
+	view.Entry.Enrolled, view.Entry.RowWrittenAt = e.stored != nil, e.storedAt
 	view.Entry.LeavingAnnounced = e.stored != nil && e.stored.leaving
 	view.Entry.Leaving, view.Entry.LeavingSince = e.self.Leaving, e.leavingSince
 	view.Entry.Members = e.serving
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -32,7 +32,11 @@
 	PlanStale           = Kind("plan_stale")
 	ShuttingDown        = Kind("shutting_down")
 	Quarantined         = Kind("quarantined")
-	Internal            = Kind("internal")
+	// QuotaExceeded is a request beyond the quota of its client account.
+	QuotaExceeded = Kind("quota_exceeded")
+	// QuotaUnavailable is a request whose quota can't be checked.
+	QuotaUnavailable = Kind("quota_unavailable")
+	Internal         = Kind("internal")
 )
 
 // Error is an error of a known kind.
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -57,8 +57,10 @@
 	tried []ident.UpstreamID
 	// ticket is that of the last request for an upstream.
 	ticket ident.Ticket
-	// sent counts the attempts that may have run.
+	// sent counts the attempts that may have run, and permitted those that the quota of
+	// the account allows.
 	sent      int
+	permitted int
 	headSent  bool
 	lastEvent ident.EventID
 	// broken is true if the connection broke in the current attempt before an answer
@@ -84,6 +86,9 @@
 	forwarding := &forwarding{Forwarder: f, x: x, lastEvent: x.Request.LastEventID}
 	var last error
 	for {
+		if err := forwarding.awaitPermit(ctx); err != nil {
+			return forwarding.finalError(ctx, err, last)
+		}
 		chosen, err := forwarding.chooseUpstream(ctx)
 		if err != nil {
 			return forwarding.finalError(ctx, err, last)
@@ -101,6 +106,16 @@
 	}
 }
 
+// awaitPermit waits until the quota of the account allows the next attempt. An attempt
+// that an upstream refused to run is not counted.
+func (f *forwarding) awaitPermit(ctx context.Context) error {
+	if f.x.Permit == nil || f.permitted > f.sent {
+		return nil
+	}
+	f.permitted = f.sent + 1
+	return f.x.Permit(ctx)
+}
+
 func (f *forwarding) chooseUpstream(ctx context.Context) (outcome.UpstreamChosen, error) {
 	answer, err := f.control.Ask(ctx, func(t ident.Ticket) message.Message {
 		f.ticket = t
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -16,7 +16,7 @@
 	defaultMaxTeams   = 32
 	defaultMaxClasses = 8
 	// maxOutcomes leaves room for all kinds of package failure, of which there
-	// are 20.
+	// are 23.
 	maxOutcomes = 40
 )
 
@@ -41,6 +41,7 @@
 	classes    labelLimiter
 	outcomes   labelLimiter
 	series     map[seriesKey]*series
+	quotas     quotaCounters
 
 	crossedAnswers *metrics.Counter
 	controlLoop    *metrics.PrometheusHistogram
@@ -67,7 +68,7 @@
 
 // New returns a Meter whose metrics are all zero.
 func New(options ...Option) *Meter {
-	m := &Meter{set: metrics.NewSet(), series: map[seriesKey]*series{}, maxTeams: defaultMaxTeams, maxClasses: defaultMaxClasses}
+	m := &Meter{set: metrics.NewSet(), quotas: newQuotaCounters(), series: map[seriesKey]*series{}, maxTeams: defaultMaxTeams, maxClasses: defaultMaxClasses}
 	for _, option := range options {
 		option(m)
 	}
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -46,6 +46,8 @@
 	m.CountCrossedAnswer()
 	m.ObserveStoreCall(true, "programs", true, 4*time.Millisecond)
 	m.ObserveStoreCall(false, "programs", false, 600*time.Millisecond)
+	m.CountQuota("kantor", "granted")
+	m.CountQuota("kantor", "refused")
 	const path = "testdata/metrics.txtar"
 	archive, err := txtar.ParseFile(path)
 	Expect(err).NotTo(HaveOccurred())
@@ -85,6 +87,16 @@
 	Expect(strings.Count(text, "sassafrasspur_calls_total{")).To(BeNumerically("<=", (3+1)*(2+1)*(40+1)))
 })
 
+// Guards against a number of series that grows with the number of accounts.
+var _ = It("bounds the number of accounts", func() {
+	m := meter.New()
+	for i := range 100 {
+		m.CountQuota(ident.AccountID(fmt.Sprint("account", i)), "refused")
+	}
+	Expect(strings.Count(render(m), "sassafrasspur_quota_requests_total{")).To(Equal(32 + 1))
+	Expect(render(m)).To(ContainSubstring(`sassafrasspur_quota_requests_total{account="other",outcome="refused"} 68`))
+})
+
 // Guards against names that make the metrics library panic or corrupt a line.
 func TestAnyName(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -73,12 +73,22 @@
 	Used  unit.Tokens  `json:"used"`
 }
 
+// server has what Serve serves beside grants and lists.
+type server struct{ quotas Quotas }
+
 // Serve serves peers until the listener is closed. Grants are taken from the
 // local escrow, lists from the current view of this VM.
-func (p *Peerlink) Serve(ctx context.Context, listener net.Listener, local *escrow.Escrow, view func() snapshot.Entry) {
+func (p *Peerlink) Serve(ctx context.Context, listener net.Listener, local *escrow.Escrow, view func() snapshot.Entry, options ...Option) {
+	var s server
+	for _, option := range options {
+		option(&s)
+	}
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-		if r.Method == methodUpstreams || r.Method == methodMembers {
+		switch r.Method {
+		case methodUpstreams, methodMembers:
 			return p.handleList(r, view())
+		case methodQuota:
+			return p.handleQuota(r, s.quotas)
 		}
 		return p.handle(ctx, r, local)
 	}
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -24,6 +24,9 @@
 	MemberList *MemberList
 	// Enrolled is true once the row of this process has been written.
 	Enrolled bool
+	// RowWrittenAt is the time at which the last confirmed write of that row was sent,
+	// zero before the first one.
+	RowWrittenAt time.Time
 	// LeavingAnnounced is true once that row marks the VM as leaving.
 	LeavingAnnounced bool
 	// Upstreams is the number of upstreams that may receive new work.
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -94,6 +94,9 @@
 	Pool     ident.PoolID
 	// Account is nil if the request has none.
 	Account *clientaccount.Account
+	// Permit waits until the quota of the account allows one more run of the request. Its
+	// error is a refusal. It is nil if the account has no limit.
+	Permit func(ctx context.Context) error
 	// Body is the request body sent to the upstream.
 	Body []byte
 	// Responder receives the answer.
--- a/node.go
+++ b/node.go
@@ -186,7 +186,11 @@
 		n.ingressAPI.serve(ctx, n)
 	}
 	if n.peerListener != nil {
-		go n.peers.Serve(ctx, n.peerListener, n.budgets, n.view)
+		var options []peerlink.Option
+		if n.ingressAPI != nil {
+			options = append(options, peerlink.WithQuotas(n.ingressAPI.quotaGranter))
+		}
+		go n.peers.Serve(ctx, n.peerListener, n.budgets, n.view, options...)
 	}
 	if n.metricsListener != nil {
 		mux := http.NewServeMux()
