--- a/internal/filter/forwarder/forwarder_test.go
+++ b/internal/filter/forwarder/forwarder_test.go
@@ -152,6 +152,16 @@
 		Request: traffic.Request{ID: "request"}, Pool: "pool", Deadline: time.Now().Add(left),
 		Route: &routing.Route{Kind: kind(f["kind"]), Attempts: f.Int("attempts")}, Responder: recordingResponder{&s.log},
 	}
+	if f.Has("permits") {
+		permits := f.Int("permits")
+		x.Permit = func(context.Context) error {
+			s.log.WriteString("permit ")
+			if permits--; permits < 0 {
+				return failure.Refusal(failure.QuotaExceeded, time.Second, "the quota is used up")
+			}
+			return nil
+		}
+	}
 	err := forwarder.New(control, s, timer.New()).Serve(context.Background(), x, nil)
 	if known := failure.From(err); known != nil {
 		fmt.Fprintf(&s.log, "%s not_run=%t", known.Kind, known.NotRun)
@@ -163,7 +173,7 @@
 // that a request did not run although it was sent, and a stream with missing or
 // duplicate events. It also guards against repeatable requests that wait for a
 // hanging upstream until the caller gives up, or that end with the error of one
-// upstream although another could serve them.
+// upstream although another could serve them, and against runs that no quota permits.
 func TestForwarder(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decide)).To(Succeed())
 }
--- a/internal/filter/quotaenforcer/quotaenforcer_test.go
+++ b/internal/filter/quotaenforcer/quotaenforcer_test.go
@@ -55,6 +55,49 @@
 
 func (c counter) CountQuota(_ ident.AccountID, outcome string) { c[outcome]++ }
 
+// exchange returns the request of a line.
+func exchange(f goldentest.Fields) *traffic.Exchange {
+	x := &traffic.Exchange{Request: traffic.Request{ID: "request"}, Table: &routing.Table{Version: 7}}
+	if !f.Has("anonymous") {
+		x.Account = &clientaccount.Account{ID: "kantor", Quota: clientaccount.Quota{Rate: 2, Burst: 3}}
+	}
+	if f.Has("unlimited") {
+		x.Account.Quota = clientaccount.Quota{}
+	}
+	if f.Has("program") {
+		x.Request.Program = &traffic.Program{ID: ident.ProgramID(f["program"]), Previous: ident.RequestID(f["previous"])}
+	}
+	if !f.Has("tool") {
+		x.Request.Prompt = &traffic.Prompt{}
+	}
+	return x
+}
+
+// run prepares and runs a request like the following filters, and counts its runs.
+func run(ctx context.Context, timers *timer.Service, f goldentest.Fields, x *traffic.Exchange, runs *int) error {
+	if prepare := f.Duration("prepare"); prepare > 0 {
+		wait := timers.After(prepare)
+		defer wait.Cancel()
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			return failure.Refusal(failure.PlatformUnavailable, time.Second, "interrupted")
+		}
+	}
+	if f.Has("unprepared") {
+		return failure.Refusal(failure.BudgetExhausted, 0, "spent")
+	}
+	for range f.Int("runs") {
+		if x.Permit != nil {
+			if err := x.Permit(ctx); err != nil {
+				return err
+			}
+		}
+		*runs++
+	}
+	return nil
+}
+
 // decide serves the request of a line. Its keeper has left=N tokens and the request takes
 // runs=N runs, after preparing for a time.
 func decide(line string) string {
@@ -66,50 +109,12 @@
 	var log bytes.Buffer
 	counts := counter{}
 	filter := quotaenforcer.New(taker, zerolog.New(&log), counts)
-	exchange := func() *traffic.Exchange {
-		x := &traffic.Exchange{Request: traffic.Request{ID: "request"}, Table: &routing.Table{Version: 7}}
-		if !f.Has("anonymous") {
-			x.Account = &clientaccount.Account{ID: "kantor", Quota: clientaccount.Quota{Rate: 2, Burst: 3}}
-		}
-		if f.Has("unlimited") {
-			x.Account.Quota = clientaccount.Quota{}
-		}
-		if f.Has("program") {
-			x.Request.Program = &traffic.Program{ID: ident.ProgramID(f["program"]), Previous: ident.RequestID(f["previous"])}
-		}
-		if !f.Has("tool") {
-			x.Request.Prompt = &traffic.Prompt{}
-		}
-		return x
-	}
 	runs := 0
-	serve := func(ctx context.Context, x *traffic.Exchange) error {
-		if prepare := f.Duration("prepare"); prepare > 0 {
-			wait := timers.After(prepare)
-			defer wait.Cancel()
-			select {
-			case <-wait.C:
-			case <-ctx.Done():
-				return failure.Refusal(failure.PlatformUnavailable, time.Second, "interrupted")
-			}
-		}
-		if f.Has("unprepared") {
-			return failure.Refusal(failure.BudgetExhausted, 0, "spent")
-		}
-		for range f.Int("runs") {
-			if x.Permit != nil {
-				if err := x.Permit(ctx); err != nil {
-					return err
-				}
-			}
-			runs++
-		}
-		return nil
-	}
+	next := func(ctx context.Context, x *traffic.Exchange) error { return run(ctx, timers, f, x, &runs) }
 	var out []string
 	for range max(1, f.Int("requests")) {
 		began := time.Now()
-		err := filter.Serve(context.Background(), exchange(), serve)
+		err := filter.Serve(context.Background(), exchange(f), next)
 		result := "served"
 		if known := failure.From(err); known != nil {
 			result = fmt.Sprintf("%s status=%d not_run=%t", known.Kind, platform.Status(known), known.NotRun)
--- a/internal/quotataker/quotataker_test.go
+++ b/internal/quotataker/quotataker_test.go
@@ -134,7 +134,11 @@
 	if f.Has("first") {
 		class = quotataker.First
 	}
-	s.last = s.taker.Take(account, 1, class)
+	of := account
+	if f.Has("account") {
+		of = &clientaccount.Account{ID: ident.AccountID(f["account"]), Quota: account.Quota}
+	}
+	s.last = s.taker.Take(of, 1, class)
 	outcome := "granted"
 	for f.Has("hold") && !s.last.Granted() {
 		time.Sleep(time.Millisecond)
