quotakeeper: keep the buckets over one failed read of the list

Lists are read each 1.5 s, so that one failed read makes a gap of more than 3 s, after which a keeper emptied its buckets and granted nothing for 3 s. Other VMs can't have become keeper before the VM's row expires, 4.5 s after its write; only a longer gap empties the buckets.

--- a/internal/quotakeeper/quotakeeper.go
+++ b/internal/quotakeeper/quotakeeper.go
@@ -10,6 +10,10 @@
 const (
 	// MaxListAge is the age of the list of VMs above which a VM grants nothing.
 	MaxListAge = 3 * time.Second
+	// maxListGap is the time between two lists above which other VMs may have been keepers
+	// in between: the time for which the row of a VM counts after its write. It exceeds
+	// MaxListAge, so that one failed read does not empty the buckets.
+	maxListGap = 4500 * time.Millisecond
 	// HandoverDelay is the time for which a new keeper waits until the previous one can no
 	// longer grant by an old list.
 	HandoverDelay = MaxListAge
@@ -55,13 +59,13 @@
 }
 
 // UpdateList sets the list of VMs as of a time. Between two lists that are further apart
-// than MaxListAge, other VMs may have been keepers, so that the parts are then handed
+// than maxListGap, other VMs may have been keepers, so that the parts are then handed
 // over as to a new keeper.
 func (k *Keeper) UpdateList(now, asOf time.Time, a *quotaassigner.Assigner) {
 	if !asOf.After(k.asOf) {
 		return
 	}
-	if k.asOf.IsZero() || asOf.Sub(k.asOf) > MaxListAge {
+	if k.asOf.IsZero() || asOf.Sub(k.asOf) > maxListGap {
 		k.lists = nil
 		k.newest++
 	}
