quotakeeper: reserve tokens for programs under way, without a debt

New programs were also limited by the requests that earlier ones were expected to make. In a flood this lost as many programs, and with a large burst fewer completed, since the debt of lost programs stays. The reserve alone remains; it is larger for a second after a refusal instead of a window, so that one refusal does not refuse new programs within the quota.

--- a/internal/quotakeeper/bucket.go
+++ b/internal/quotakeeper/bucket.go
@@ -11,15 +11,12 @@
 const (
 	// returnHorizon is the age up to which tokens may be returned.
 	returnHorizon = 500 * time.Millisecond
-	// plentyShare is the level, as a share of the capacity, above which new programs need
-	// not be limited to what leaves room for those under way, and spare tokens are granted.
+	// plentyShare is the level, as a share of the capacity, above which spare tokens are
+	// granted, and which programs under way are left at most.
 	plentyShare = 0.5
 	// reserveShare bounds the tokens kept for programs under way within the quota, as a
 	// share of the capacity.
 	reserveShare = 0.25
-	// maxDebtTime bounds the time for which new programs wait for the requests of those
-	// that were admitted before.
-	maxDebtTime = 10 * time.Second
 	// programHalfLife is the time after which a counted request weighs half in the number
 	// of requests of a program.
 	programHalfLife = time.Minute
@@ -55,10 +52,6 @@
 	fullAt time.Time
 	// shortAt is the last time at which a request was refused.
 	shortAt time.Time
-	// programs is the number of requests that new programs may still cause, counting all
-	// their requests when they begin. It is negative while programs under way are
-	// expected to use more than the quota.
-	programs float64
 	// first and further count granted requests, with weights that halve each
 	// programHalfLife.
 	first, further float64
@@ -78,14 +71,13 @@
 		return
 	}
 	b.quota, b.version = q, version
-	b.programs = max(b.programs, -b.rate()*maxDebtTime.Seconds())
 }
 
 // reset empties the bucket for a VM that lists have named as keeper since a time.
 func (b *bucket) reset(since time.Time) {
 	b.since, b.at = since, since.Add(HandoverDelay)
 	b.periodAt, b.fullAt = b.at, b.at
-	b.level, b.granted, b.grantedBefore, b.programs, b.shortAt = 0, 0, 0, 0, time.Time{}
+	b.level, b.granted, b.grantedBefore, b.shortAt = 0, 0, 0, time.Time{}
 }
 
 // fill adds the tokens that have accrued.
@@ -95,9 +87,7 @@
 		return
 	}
 	b.at = now
-	accrued := b.rate() * elapsed.Seconds()
-	b.level = min(b.level+accrued, b.capacity())
-	b.programs = min(b.programs+accrued, max(b.capacity(), 1+b.furtherPerProgram()))
+	b.level = min(b.level+b.rate()*elapsed.Seconds(), b.capacity())
 	weight := math.Exp2(-elapsed.Seconds() / programHalfLife.Seconds())
 	b.first, b.further = b.first*weight, b.further*weight
 	if b.level+b.granted+b.grantedBefore >= b.capacity() {
@@ -117,8 +107,12 @@
 	return min(b.further/(b.first+1), maxFurther)
 }
 
-// isShort reports whether the account exceeded the quota of the part recently.
-func (b *bucket) isShort() bool { return b.at.Sub(b.shortAt) < b.limits.Window }
+// isShort reports whether the account exceeded the quota of the part recently: in the time
+// in which two tokens accrue, and a second at least. Longer periods refuse new programs
+// within the quota after a single refusal.
+func (b *bucket) isShort() bool {
+	return b.at.Sub(b.shortAt) < max(time.Second, b.timeToFill(2))
+}
 
 // reserve returns the tokens that are kept for programs under way. Within the quota it
 // takes from the increase of the burst only, so that new programs have the whole
@@ -150,12 +144,9 @@
 	g.Further = min(r.Further, int(b.level))
 	b.level -= float64(g.Further)
 	b.further += float64(g.Further)
-	for g.First < r.First && b.allowsProgram() {
-		g.First++
-		b.level--
-		b.programs = max(b.programs-1-b.furtherPerProgram(), -b.rate()*maxDebtTime.Seconds())
-		b.first++
-	}
+	g.First = max(0, min(r.First, int(b.level-b.reserve())))
+	b.level -= float64(g.First)
+	b.first += float64(g.First)
 	if g.First == r.First && g.Further == r.Further {
 		g.Spare = min(r.Spare, max(0, int(b.level-plentyShare*b.capacity())))
 		b.level -= float64(g.Spare)
@@ -168,19 +159,11 @@
 		g.FurtherRetry = b.timeToFill(1 - b.level)
 	}
 	if g.First < r.First {
-		g.FirstRetry = max(b.timeToFill(1+b.reserve()-b.level), min(b.timeToFill(-b.programs), b.timeToFill(plentyShare*b.capacity()-b.level)))
+		g.FirstRetry = b.timeToFill(1 + b.reserve() - b.level)
 	}
 	return g
 }
 
-// allowsProgram reports whether a new program may begin.
-func (b *bucket) allowsProgram() bool {
-	if b.level < 1+b.reserve() {
-		return false
-	}
-	return !b.isShort() || b.programs > 0 || b.level >= plentyShare*b.capacity()
-}
-
 // timeToFill returns the time in which a number of tokens accrue, between the bounds of a
 // retry delay.
 func (b *bucket) timeToFill(tokens float64) time.Duration {
