--- a/chain.go
+++ b/chain.go
@@ -13,12 +13,12 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/quarantiner"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/quotaenforcer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/reporter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/routematcher"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
 	"github.com/sassafrasspur/sassafrasspur/internal/granter"
-	"github.com/sassafrasspur/sassafrasspur/internal/keychecker"
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/servicecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
@@ -54,12 +54,13 @@
 // requests pass through it.
 func (n *Node) ingressChain() traffic.Handler {
 	members := func() []snapshot.Member { return n.view().Members }
-	keys := keychecker.New(n.control, n.timers, keychecker.WithRevocationLimit(n.settings.Ingress.RevocationLimit))
+	keys := n.ingressAPI.keys
 	return traffic.Chain(
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
 		routematcher.New(n.control.Snapshot, n.timers, subscriber.MaxAge(n.settings.Ingress.RoutesLimit)),
 		accountresolver.New(keys),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
+		quotaenforcer.New(n.ingressAPI.quotaTaker, n.log.Zerolog(), n.meter),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers,
 			turnrecorder.WithConfirm(keys.Confirm)),
--- a/internal/keychecker/keychecker.go
+++ b/internal/keychecker/keychecker.go
@@ -223,6 +223,9 @@
 	return isProved(entry) && k.proofAge(entry) <= certainAge
 }
 
+// Proved reports whether the routes are proved to be recent enough for the use of keys.
+func (k *Keychecker) Proved() bool { return k.isUsable(k.control.Snapshot().Entry) }
+
 func isProved(entry snapshot.Entry) bool { return entry.RoutesProvenAt > 0 }
 
 func (k *Keychecker) proofAge(entry snapshot.Entry) time.Duration {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -17,6 +17,7 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/loader"
 	"github.com/sassafrasspur/sassafrasspur/internal/router"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -71,13 +72,17 @@
 	}
 })
 
-// fillTemplate fills in the values of the platform, except for the revocation limit.
+// section matches a section of the template that the platform renders if it has a value.
+var section = regexp.MustCompile(`(?s)\{\{#bounds\.\w+\}\}(.*?)\{\{/bounds\.\w+\}\}`)
+
+// fillTemplate fills in the values of the platform.
 func fillTemplate(template string) string {
 	return strings.NewReplacer(
 		"{{nodeName|json}}", `"edge-1"`, "{{zone|json}}", `"kl-a"`, "{{region|json}}", `"semenanjung"`,
 		"{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
 		"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
 		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "4000", "{{bounds.configApplyMs}}", "3000",
+		"{{bounds.revokeMs}}", "5000", "{{bounds.quotaWindowS}}", "10", "{{bounds.quotaOverage}}", "1", "{{bounds.quotaSlack}}", "30",
 		"{{#zones}}\n", "", "{{/zones}}\n", "", "{{@}} = {{.|json}}", `kl-a = "semenanjung"`,
 	).Replace(template)
 }
@@ -87,17 +92,16 @@
 var _ = It("loads the template of the platform", func() {
 	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
 	Expect(err).NotTo(HaveOccurred())
-	strictRevocation := regexp.MustCompile(`\{\{#bounds\.strictRevocation\}\}(.*?)\{\{/bounds\.strictRevocation\}\}`)
-	render := func(section string) string {
-		return fillTemplate(strictRevocation.ReplaceAllString(string(template), section))
-	}
-	strict, err := loader.New().Parse("settings.toml", strings.ReplaceAll(render("$1"), "{{bounds.revokeMs}}", "5000"))
-	Expect(err).NotTo(HaveOccurred())
-	Expect(strict.Ingress.RevocationLimit).To(Equal(5 * time.Second))
-	Expect(render("")).NotTo(ContainSubstring("revocation"))
-	s, err := loader.New().Parse("settings.toml", render(""))
+	absent := fillTemplate(section.ReplaceAllString(string(template), ""))
+	Expect(absent).NotTo(Or(ContainSubstring("revocation"), ContainSubstring("quota")))
+	s, err := loader.New().Parse("settings.toml", absent)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(s.Ingress.RevocationLimit).To(BeZero())
+	Expect([]any{s.Ingress.QuotaWindow, s.Ingress.QuotaOverage, s.Ingress.QuotaSlack}).To(Equal([]any{5 * time.Second, unit.Ratio(0.1), 20}))
+	s, err = loader.New().Parse("settings.toml", fillTemplate(section.ReplaceAllString(string(template), "$1")))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Ingress.RevocationLimit).To(Equal(5 * time.Second))
+	Expect([]any{s.Ingress.QuotaWindow, s.Ingress.QuotaOverage, s.Ingress.QuotaSlack}).To(Equal([]any{10 * time.Second, unit.Ratio(1), 30}))
 	Expect(s.CallerAddress.IsValid()).To(BeFalse())
 	Expect(s.Ingress.Requests.String()).To(Equal("127.0.0.1:1"))
 	Expect(s.Ingress.Grace).To(Equal(8 * time.Second))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,12 @@
 	// RevocationLimit is the time after which a key that was removed must no longer be
 	// used by any VM, 0 if keys are used however old the routes are.
 	RevocationLimit time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a client account
+	// beyond its quota: in each window on all VMs together, at most (rate × window +
+	// burst) × (1 + overage) + slack requests may run.
+	QuotaWindow  time.Duration
+	QuotaOverage unit.Ratio
+	QuotaSlack   int
 }
 
 // Platform configures access to the users' platform.
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -97,6 +97,9 @@
 	// AccountsListed is true if a configuration that was read for the exchange lists
 	// client accounts.
 	AccountsListed bool
+	// Permit waits until the quota of the account allows one more run of the request. Its
+	// error is a refusal. It is nil if the account has no limit.
+	Permit func(ctx context.Context) error
 	// Body is the request body sent to the upstream.
 	Body []byte
 	// Responder receives the answer.
