logger: report all bound addresses when a node starts

The first log line named the addresses for callers only, so that a test that lets the node choose free ports could not find the readiness, directory, metrics and peer addresses. It now has all of them; the two existing keys are unchanged.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -24,6 +24,9 @@
 	level  zerolog.Level
 }
 
+// Addresses has the bound addresses of a node. One that is not served is empty.
+type Addresses struct{ Callers, Requests, Readiness, Directory, Metrics, Peers string }
+
 // Option configures a Logger.
 type Option func(*Logger)
 
@@ -97,8 +100,11 @@
 // Started writes the line that reports the bound addresses, regardless of the
 // minimum level: it is the first line, and scripts read the addresses from it. An
 // address that is not served is empty.
-func (l *Logger) Started(callers, requests string) {
-	l.log.Log().Int("pid", os.Getpid()).Str("caller_address", callers).Str("request_address", requests).Msg("started")
+func (l *Logger) Started(bound Addresses) {
+	l.log.Log().Int("pid", os.Getpid()).
+		Str("caller_address", bound.Callers).Str("request_address", bound.Requests).
+		Str("readiness_address", bound.Readiness).Str("directory_address", bound.Directory).
+		Str("metrics_address", bound.Metrics).Str("peer_address", bound.Peers).Msg("started")
 }
 
 // Debug writes a line at debug level. The message must be a constant string.
--- a/node.go
+++ b/node.go
@@ -98,7 +98,10 @@
 		n.unbind()
 		return nil, err
 	}
-	n.log.Started(n.CallerAddress(), n.requestAddress())
+	n.log.Started(logger.Addresses{
+		Callers: n.CallerAddress(), Requests: n.requestAddress(), Readiness: boundAddress(n.readinessListener),
+		Directory: boundAddress(n.directoryListener), Metrics: boundAddress(n.metricsListener), Peers: boundAddress(n.peerListener),
+	})
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.platformStore = platform.NewStore(s.Platform.StoreAddress.String(), platform.WithObserver(n.observeStore))
