sassafrasspur: limit what callers can make a VM hold

A process ran out of memory under callers outside the operators' control. All servers of a node now share one budget for requests, from the VM's memory and descriptors (settings memory, descriptors and the table callers), and Go's soft memory limit is 75 in 100 of the memory. Messages of peers have a size, a number that is pending and claims; the goroutine that the JSON-RPC library keeps for each connection ends with it. A large response of an upstream is read once there is memory for it.

--- a/chain.go
+++ b/chain.go
@@ -10,6 +10,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/drainer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/memoryclaimer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/quarantiner"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/recorder"
@@ -58,6 +59,7 @@
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
+		memoryclaimer.New(),
 		// A request is recognized by its whole body, which the turnrecorder composes.
 		quarantiner.New(n.control, n.timers),
 		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers),
--- a/cmd/sassafrasspurd/main.go
+++ b/cmd/sassafrasspurd/main.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -75,6 +76,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalidSettings
 	}
+	debug.SetMemoryLimit(int64(s.SoftMemoryLimit()))
 	out := linewriter.New(os.Stdout, logQueueLines, func(lines int64) {
 		log := zerolog.New(os.Stdout).With().Timestamp().Str("vm", string(s.VM)).Logger()
 		log.Warn().Int64("lines", lines).Msg("log lines dropped")
--- a/ingress_api.go
+++ b/ingress_api.go
@@ -68,10 +68,10 @@
 		}
 		return defaultMaxBody
 	}
-	i.server = n.serve(n.requestListener, platform.NewIngress(n.ingressChain(), n.timers, leaving, maxBody), callerIdleTimeout)
+	i.server = n.serve(n.requestListener, platform.NewIngress(n.ingressChain(), n.timers, leaving, maxBody), requestServer)
 	n.servers = append(n.servers,
-		n.serve(n.readinessListener, platform.NewReadinessHandler(ready), 0),
-		n.serve(n.directoryListener, platform.NewDirectoryHandler(addresses, addressRetention), 0))
+		n.serve(n.readinessListener, platform.NewReadinessHandler(ready), otherServer),
+		n.serve(n.directoryListener, platform.NewDirectoryHandler(addresses, addressRetention), otherServer))
 }
 
 // sweepIdle closes expired idle connections to upstreams until the context ends.
--- a/internal/apiserver/problem.go
+++ b/internal/apiserver/problem.go
@@ -119,6 +119,8 @@
 	var decoding *goa.ServiceError
 	switch {
 	case errors.As(err, &p):
+	case errors.As(err, &decoding) && decoding.Name == string(failure.Overloaded):
+		p = toProblem(failure.Refusal(failure.Overloaded, startupRetryDelay, "%s", decoding.Message))
 	case errors.As(err, &decoding):
 		p = toProblem(failure.Refusal(failure.InvalidRequest, 0, "%s; correct the request and send it again", decoding.Error()))
 	default:
@@ -143,11 +145,15 @@
 			}
 		}
 		var tooLarge *http.MaxBytesError
+		var refused *failure.Error
 		switch {
 		case err == nil || err == io.EOF: //nolint:errorlint // the generated code compares with io.EOF for an empty body
 			return err
 		case errors.As(err, &tooLarge):
 			return goa.PermanentError("too_large", "the body is larger than %d bytes", tooLarge.Limit)
+		case errors.As(err, &refused):
+			// The generated code keeps only errors of goa.
+			return goa.TemporaryError(string(failure.Overloaded), "%s", refused.Message)
 		default:
 			return goa.PermanentError("decode_payload", "the body is not valid: %v", err)
 		}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -77,7 +77,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	text := strings.NewReplacer(
 		"{{nodeName|json}}", `"edge-1"`, "{{zone|json}}", `"kl-a"`, "{{region|json}}", `"semenanjung"`,
-		"{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
+		"{{ip}}", "127.0.0.1", "{{limits.memoryMb}}", "536", "{{limits.maxFds}}", "10250", "{{internalPorts.0}}", "7380", "{{platform.address|json}}", `"127.0.0.1:8142"`,
 		"{{listen.front|json}}", `"127.0.0.1:1"`, "{{listen.ready|json}}", `"127.0.0.1:2"`,
 		"{{listen.directory|json}}", `"127.0.0.1:3"`, "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "4000", "{{bounds.configApplyMs}}", "3000",
 		"{{#zones}}\n", "", "{{/zones}}\n", "", "{{@}} = {{.|json}}", `kl-a = "semenanjung"`,
@@ -91,6 +91,8 @@
 	Expect(s.Ingress.RoutesLimit).To(Equal(3 * time.Second))
 	Expect(s.Regions).To(HaveKeyWithValue(ident.Domain("kl-a"), ident.Region("semenanjung")))
 	Expect(s.PeerAddress.String()).To(Equal("127.0.0.1:7380"))
+	Expect(s.Memory).To(BeEquivalentTo(536 << 20))
+	Expect(s.Descriptors).To(Equal(10250))
 })
 
 // Guards against defaults that violate a bound or a rule, values that are stored
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -16,6 +16,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/memorylimiter"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
@@ -45,6 +46,8 @@
 	timers *timer.Service
 	dialer net.Dialer
 	report func(error)
+	// memory is nil if the memory for messages of peers is not bounded.
+	memory *memorylimiter.Memorylimiter
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -57,14 +60,25 @@
 	reconnectAt time.Time
 }
 
+// Option configures a Peerlink.
+type Option func(*Peerlink)
+
+// WithMemory sets the budget from which the messages of peers are claimed. By default
+// only the size of each is bounded.
+func WithMemory(m *memorylimiter.Memorylimiter) Option { return func(p *Peerlink) { p.memory = m } }
+
 // New returns a Peerlink that serves the store calls of peers from store, which
 // must not use peers itself. Errors that are not returned to a caller are passed
 // to report.
-func New(store rows.Store, timers *timer.Service, report func(error)) *Peerlink {
-	return &Peerlink{
+func New(store rows.Store, timers *timer.Service, report func(error), options ...Option) *Peerlink {
+	p := &Peerlink{
 		store: store, timers: timers, report: report, links: map[string]*link{},
 		dialer: net.Dialer{Timeout: dialTimeout, Control: connector.SetTCPTimeouts},
 	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // returnRequest returns a grant with the tokens that were used.
@@ -76,7 +90,8 @@
 // Serve serves peers until the listener is closed. Grants are taken from the
 // local escrow, lists from the current view of this VM.
 func (p *Peerlink) Serve(ctx context.Context, listener net.Listener, local *escrow.Escrow, view func() snapshot.Entry) {
-	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	// A request runs to its end although its peer disconnects.
+	handle := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		if r.Method == methodUpstreams || r.Method == methodMembers {
 			return p.handleList(r, view())
 		}
@@ -90,8 +105,7 @@
 			}
 			return
 		}
-		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed()), jsonrpc2.SetLogger(p))
+		p.serveConnection(ctx, conn, jsonrpc2.HandlerWithError(handle).SuppressErrClosed())
 	}
 }
 
@@ -225,7 +239,7 @@
 		l.reconnectAt = p.timers.Now().Add(reconnectDelay)
 		return nil, errors.Annotatef(err, "connect to peer at %s", address)
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, &boundedCodec{max: maxResponseBytes})
 	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCalls), jsonrpc2.SetLogger(p))
 	return l.conn, nil
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -41,6 +41,11 @@
 		{"", "log_level", unitChoice, "info", "lowest level that is logged", Choice{
 			[]string{"debug", "info", "warn", "error"}, setLogLevel}},
 
+		{"", "memory", "MB", int64(112), "memory of the VM, from which the limits on callers and Go's soft memory limit (75 in 100 of it) follow; the smallest VMs have 112", Integer{64, 1 << 20,
+			func(s Target, v int64) { s.Memory = unit.Bytes(v) << 20 }}},
+		{"", "descriptors", "descriptors", int64(3075), "file descriptors that the process may have open; the smallest VMs have 3075", Integer{256, 1 << 24,
+			func(s Target, v int64) { s.Descriptors = int(v) }}},
+
 		{"platform", "store_address", unitAddress, nil, "address of the platform's store", Address{
 			func(s Target, v netip.AddrPort) { s.Platform.StoreAddress = v }}},
 
@@ -60,6 +65,21 @@
 		{"ingress", "routes_limit", unitDuration, "2500ms", "time within which a new version of the routes must take effect", Duration{time.Second, time.Minute, 0,
 			func(s Target, v time.Duration) { s.Ingress.RoutesLimit = v }}},
 
+		{"callers", "request_memory", "bytes", int64(0), "memory for the requests of all callers together, with the copies that the VM makes of them; 0 stands for 35 in 100 of memory: the process takes 14 MB, histories of turns 16 MB and connections 15 in 100", Integer{0, 1 << 40,
+			func(s Target, v int64) { s.Callers.RequestMemory = unit.Bytes(v) }}},
+		{"callers", "reserved_memory", "bytes", int64(0), "part of request_memory that large requests leave free for small ones; 0 stands for a quarter", Integer{0, 1 << 40,
+			func(s Target, v int64) { s.Callers.ReservedMemory = unit.Bytes(v) }}},
+		{"callers", "small_request", "bytes", int64(128 << 10), "memory up to which a request counts as small; a header section of 16 KB with 60 lines takes 64 KB, a body twice its size", Integer{16 << 10, 1 << 30,
+			func(s Target, v int64) { s.Callers.SmallRequest = unit.Bytes(v) }}},
+		{"callers", "connections", "connections", int64(0), "connections at the address for requests, and at that of the product's own interface; the other addresses have a quarter of it each, at least 64; 0 stands for a third of descriptors, at most 15 in 100 of memory at 20 KB each", Integer{0, 1 << 24,
+			func(s Target, v int64) { s.Callers.Connections = int(v) }}},
+		{"callers", "head_time", unitDuration, "10s", "time for a header section; callers of the known deployments have 3 s", Duration{100 * ms, 10 * time.Minute, 0,
+			func(s Target, v time.Duration) { s.Callers.HeadTime = v }}},
+		{"callers", "body_pace", unitDuration, "10s", "time within which each further 16 KB of a body, or its end, must arrive; a third of the 22 Mbit/s of the smallest VMs, shared by 500 callers, carries that in 9 s", Duration{100 * ms, 10 * time.Minute, 0,
+			func(s Target, v time.Duration) { s.Callers.BodyPace = v }}},
+		{"callers", "write_pace", unitDuration, "15s", "time within which a caller must take each further 16 KB of an answer, once the buffers of its connection are full; as idle connections of the known deployments", Duration{100 * ms, 10 * time.Minute, 0,
+			func(s Target, v time.Duration) { s.Callers.WritePace = v }}},
+
 		{"freshness", "configuration", unitDuration, "5s", "age of the configuration above which new work is refused", Duration{100 * ms, 5 * time.Second, 0,
 			func(s Target, v time.Duration) { s.Freshness.Configuration = v }}},
 		{"freshness", "upstreams", unitDuration, "5s", "age of an upstream's view above which it receives no new work", Duration{100 * ms, 5 * time.Second, 0,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,7 +26,11 @@
 	// invalid if unset.
 	MetricsAddress netip.AddrPort
 	LogLevel       zerolog.Level
-	Ingress        Ingress
+	// Memory and Descriptors are those of the VM; 0 stands for the smallest VMs.
+	Memory      unit.Bytes
+	Descriptors int
+	Ingress     Ingress
+	Callers     Callers
 	// Regions maps failure domains to their regions.
 	Regions   map[ident.Domain]ident.Region
 	Platform  Platform
--- a/node.go
+++ b/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,9 +21,11 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/logger"
+	"github.com/sassafrasspur/sassafrasspur/internal/memorylimiter"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/meter"
 	"github.com/sassafrasspur/sassafrasspur/internal/peerlink"
+	"github.com/sassafrasspur/sassafrasspur/internal/refusalreporter"
 	"github.com/sassafrasspur/sassafrasspur/internal/relay"
 	"github.com/sassafrasspur/sassafrasspur/internal/rowfinder"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
@@ -38,8 +39,6 @@
 )
 
 const (
-	// headerTimeout bounds the time that a caller takes to send a request header.
-	headerTimeout = 10 * time.Second
 	// memberListInterval is the interval at which a VM that serves the program API
 	// reads the list of entry VMs. After three to five intervals, a call whose VM
 	// was killed runs on another VM.
@@ -78,6 +77,9 @@
 	ingressAPI *ingressAPI
 
 	callerListener, requestListener, readinessListener, directoryListener, metricsListener, peerListener net.Listener
+	// requestMemory is the budget of all callers together.
+	requestMemory *memorylimiter.Memorylimiter
+	refusals      *refusalreporter.Refusalreporter
 	// servers are closed last, after the servers of programAPI and ingressAPI.
 	servers    []*stopper.Stopper
 	serveLoops sync.WaitGroup
@@ -94,6 +96,7 @@
 	n.log = logger.New(n.output, s.VM, s.Domain, s.Region, logger.WithLevel(s.LogLevel), logger.WithTimer(n.timers))
 	n.meter = meter.New()
 	n.process = ident.ProcessID(uuid.NewString())
+	n.limitCallers()
 	if err := n.bind(); err != nil {
 		n.unbind()
 		return nil, err
@@ -174,7 +177,7 @@
 
 // startPeering starts the components that communicate with other entry VMs.
 func (n *Node) startPeering(ctx context.Context) {
-	n.peers = peerlink.New(n.platformStore, n.timers, n.errorLogger("peer failed"))
+	n.peers = peerlink.New(n.platformStore, n.timers, n.errorLogger("peer failed"), peerlink.WithMemory(n.requestMemory))
 	n.store = relay.New(n.platformStore, n.peers, n.timers, n.self(), func() []snapshot.Member { return n.view().Members })
 	n.budgets = escrow.New(ctx, n.store, n.timers,
 		escrow.WithOnError(n.errorLogger("budget not settled")), escrow.WithOnUse(n.sweeper.MarkUsed))
@@ -189,32 +192,16 @@
 		n.ingressAPI.serve(ctx, n)
 	}
 	if n.peerListener != nil {
-		go n.peers.Serve(ctx, n.peerListener, n.budgets, n.view)
+		go n.peers.Serve(ctx, n.limitPeers(), n.budgets, n.view)
 	}
 	if n.metricsListener != nil {
 		mux := http.NewServeMux()
 		mux.Handle("/", viewer.New(n.self(), n.control.Snapshot, n.timers).Handler(n.log.Zerolog()))
 		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.meter.WritePrometheus(w) })
-		n.servers = append(n.servers, n.serve(n.metricsListener, mux, 0))
+		n.servers = append(n.servers, n.serve(n.metricsListener, mux, otherServer))
 	}
 }
 
-// serve starts an HTTP server on a listener; it runs until it is closed. Idle
-// connections are closed after idle, or after headerTimeout if idle is 0.
-func (n *Node) serve(listener net.Listener, handler http.Handler, idle time.Duration) *stopper.Stopper {
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idle, ErrorLog: stdlog.New(n.log.Zerolog(), "", 0),
-	}
-	serverStopper := stopper.New(server, n.timers)
-	n.serveLoops.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log := n.log.Zerolog()
-			log.Error().Err(err).Str("address", listener.Addr().String()).Msg("HTTP server stopped unexpectedly")
-		}
-	})
-	return serverStopper
-}
-
 // errorLogger returns a function that logs errors that are not returned to a caller.
 func (n *Node) errorLogger(what string) func(error) {
 	log := n.log.Zerolog()
--- a/program_api.go
+++ b/program_api.go
@@ -68,7 +68,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", api.Handler())
 	mux.Handle("GET /metrics", api.OperatorOnly(n.meter.WritePrometheus))
-	p.server = n.serve(n.callerListener, mux, 0)
+	p.server = n.serve(n.callerListener, mux, programServer)
 }
 
 // shutdown stops the API. It first announces that the VM is leaving, so that the
