peerlink: claim a request until it was handled

A message was claimed until the next one arrived, so that a peer that sent one of 4 MB and no other kept its memory, and a legitimate link that had relayed a transaction could be closed for memory. The message is now claimed while it is decoded and its parameters until they were handled, with 16 KB for the goroutine and its store call. A budget without waiting requests no longer makes a channel for each request that ends.

--- a/internal/memorylimiter/memorylimiter.go
+++ b/internal/memorylimiter/memorylimiter.go
@@ -41,8 +41,9 @@
 	used   unit.Bytes
 	nextID int64
 	claims map[int64]*Claim
-	// returned is closed and replaced when memory is returned.
+	// returned is closed and replaced when memory is returned, if a request waits for it.
 	returned chan struct{}
+	awaited  bool
 }
 
 // New returns a Memorylimiter for total bytes, of which large requests leave reserved
@@ -182,6 +183,7 @@
 			// A request that is dropped may itself wait for memory.
 			m.wakeWaiting()
 		}
+		m.awaited = true
 		return drops, m.returned, nil
 	default:
 		return nil, nil, m.refusal()
@@ -262,6 +264,10 @@
 }
 
 func (m *Memorylimiter) wakeWaiting() {
+	if !m.awaited {
+		return
+	}
+	m.awaited = false
 	close(m.returned)
 	m.returned = make(chan struct{})
 }
--- a/internal/peerlink/codec.go
+++ b/internal/peerlink/codec.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/sassafrasspur/sassafrasspur/internal/evictor"
 	"github.com/sassafrasspur/sassafrasspur/internal/memorylimiter"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
@@ -28,6 +29,9 @@
 	// maxPendingRequests is the number of requests of one connection that are handled at
 	// once. Further ones wait unread.
 	maxPendingRequests = 64
+	// requestBytes is the memory of a pending request beside its message: the stack of its
+	// goroutine and its call of the store.
+	requestBytes unit.Bytes = 16 << 10
 	// messageCopies is the number of copies of a message: as received, and decoded.
 	messageCopies = 2
 )
@@ -38,7 +42,7 @@
 type boundedCodec struct {
 	jsonrpc2.VSCodeObjectCodec
 	max int64
-	// claim has the memory of the last message, nil if it is not bounded.
+	// claim has the memory of the message that is read, nil if it is not bounded.
 	claim *memorylimiter.Claim
 }
 
@@ -50,7 +54,7 @@
 	}
 	message := io.LimitReader(stream, size)
 	if c.claim != nil {
-		c.claim.Release()
+		defer c.claim.Release()
 		message = &claimedReader{Reader: message, claim: c.claim}
 	}
 	return json.NewDecoder(message).Decode(v)
@@ -104,18 +108,52 @@
 type boundedHandler struct {
 	jsonrpc2.Handler
 	pending chan struct{}
+	// memory is nil if the memory of requests is not bounded.
+	memory *memorylimiter.Memorylimiter
 }
 
 // Handle handles a request in a goroutine of its own, as jsonrpc2.AsyncHandler. The
-// connection is not read while too many requests are pending.
+// connection is not read while too many requests are pending. It is closed if there is no
+// memory for the request, whose outcome is then unknown to the peer.
 func (h *boundedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	release, err := h.claim(r)
+	if err != nil {
+		// The error of a connection that is closed twice concerns nobody.
+		_ = conn.Close()
+		return
+	}
 	h.pending <- struct{}{}
 	go func() {
-		defer func() { <-h.pending }()
+		defer func() {
+			release()
+			<-h.pending
+		}()
 		h.Handler.Handle(ctx, conn, r)
 	}()
 }
 
+// claim claims the memory of a request until it was handled. A request that is handled is
+// not dropped.
+func (h *boundedHandler) claim(r *jsonrpc2.Request) (release func(), err error) {
+	if h.memory == nil {
+		return func() {}, nil
+	}
+	needed := requestBytes
+	if r.Params != nil {
+		needed += messageCopies * unit.Bytes(len(*r.Params))
+	}
+	claim := h.memory.NewClaim(func() {})
+	if err := claim.Grow(needed); err != nil {
+		claim.Release()
+		return nil, err
+	}
+	if err := claim.Enter(evictor.Running{}); err != nil {
+		claim.Release()
+		return nil, err
+	}
+	return claim.Release, nil
+}
+
 // serveConnection serves the requests on a connection of a peer.
 func (p *Peerlink) serveConnection(ctx context.Context, netConn net.Conn, handler jsonrpc2.Handler) {
 	codec := &boundedCodec{max: maxRequestBytes}
@@ -126,12 +164,9 @@
 	// The library keeps a goroutine for each connection until its context ends.
 	connCtx, cancel := context.WithCancel(ctx)
 	conn := jsonrpc2.NewConn(connCtx, jsonrpc2.NewBufferedStream(netConn, codec),
-		&boundedHandler{Handler: handler, pending: make(chan struct{}, maxPendingRequests)}, jsonrpc2.SetLogger(p))
+		&boundedHandler{Handler: handler, pending: make(chan struct{}, maxPendingRequests), memory: p.memory}, jsonrpc2.SetLogger(p))
 	go func() {
 		<-conn.DisconnectNotify()
 		cancel()
-		if codec.claim != nil {
-			codec.claim.Release()
-		}
 	}()
 }
