connectionlimiter: refuse what arrives as a connection is closed

A connection that gave way to a new one could still be served: a read that waits may return what arrives at the same moment although its deadline has passed. It was then served without being counted.

--- a/internal/connectionlimiter/conn.go
+++ b/internal/connectionlimiter/conn.go
@@ -147,9 +147,9 @@
 		// The header section has been read; the phase of a body begins in the handler.
 		c.enter(serving)
 	case http.StateIdle:
-		c.claim.Release()
-		c.head, c.charged = headcounter.Headcounter{}, 0
 		c.enter(idle)
+		c.head, c.charged = headcounter.Headcounter{}, 0
+		c.claim.Release()
 	case http.StateClosed, http.StateHijacked:
 		c.claim.Release()
 		c.limiter.forget(c)
@@ -186,6 +186,14 @@
 	if current == serving || current == receiving {
 		return n, err
 	}
+	if c.wasCut() {
+		// A read may return what arrives at the same moment.
+		c.isRefused = true
+		if n > 0 || current == heading {
+			c.refuse(c.noRoom())
+		}
+		return 0, errRefused
+	}
 	if n > 0 && current != heading {
 		c.enter(heading)
 	}
@@ -193,13 +201,6 @@
 		c.refuse(refusal)
 		return 0, errRefused
 	}
-	if err != nil && c.wasCut() {
-		c.isRefused = true
-		if current == heading {
-			c.refuse(c.noRoom())
-		}
-		return 0, errRefused
-	}
 	return n, err
 }
 
