--- a/chain.go
+++ b/chain.go
@@ -11,6 +11,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/drainer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/forwarder"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/manager"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/memoryclaimer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/orderer"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/quarantiner"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/quotaenforcer"
@@ -64,6 +65,7 @@
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers,
 			turnrecorder.WithConfirm(keys.Confirm)),
+		memoryclaimer.New(),
 		// A request is recognized by its whole body, which the turnrecorder composes.
 		quarantiner.New(n.control, n.timers),
 		forwarder.New(n.control, platform.NewReplicaCaller(n.ingressAPI.upstreamConnector), n.timers, forwarder.WithCheck(keys.Check)),
--- a/internal/peerlink/quota.go
+++ b/internal/peerlink/quota.go
@@ -24,11 +24,11 @@
 	Take(r quotakeeper.Request) quotakeeper.Answer
 }
 
-// Option configures Serve.
-type Option func(*server)
+// ServeOption configures Serve.
+type ServeOption func(*server)
 
 // WithQuotas sets the quotas from which tokens of client accounts are granted.
-func WithQuotas(q Quotas) Option { return func(s *server) { s.quotas = q } }
+func WithQuotas(q Quotas) ServeOption { return func(s *server) { s.quotas = q } }
 
 // quotaAnswer is the JSON form of an answer. Reason is set in that of a VM that can't
 // grant.
