message: loads that engines report

The choice of an upstream knows only the calls of its own VM. The message carries the loads that engines report, for the controller that reads them and the balancer. Measured: go build ./...; nothing sends it yet.

--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -48,6 +48,13 @@
 	AsOf      time.Time
 }
 
+// EngineLoadsRead reports the loads of engines that answered, as of a time that is not
+// later than that of any of the reports.
+type EngineLoadsRead struct {
+	Loads map[ident.UpstreamID]upstream.Load
+	AsOf  time.Time
+}
+
 // MembersListed reports the entry VMs as of a point in time.
 type MembersListed struct {
 	// Serving has the VMs that serve callers, sorted.
@@ -200,6 +207,7 @@
 func (RowsWritten) sealed()           {}
 func (RoutesChanged) sealed()         {}
 func (UpstreamsRead) sealed()         {}
+func (EngineLoadsRead) sealed()       {}
 func (UpstreamsFetched) sealed()      {}
 func (MembersListed) sealed()         {}
 func (MembersFetched) sealed()        {}
