placementkeeper: remember the engine of a program at its home VM

A program's turns must reach the engine that has its prompt, but VMs only know a hash of it. The VM that grants the program's budget now remembers the engine that served the last turn: the return of a grant names it, and the next grant carries it, so that no further message is sent.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -10,8 +10,10 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/placementkeeper"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
@@ -55,6 +57,9 @@
 	ID        string          `json:"id"`
 	Program   ident.ProgramID `json:"program"`
 	MaxTokens unit.Tokens     `json:"largest"`
+	// Engine is the engine that served the program before, and in a returned grant the
+	// one that served the turn. It is zero if there is none.
+	Engine upstream.Process `json:"engine,omitzero"`
 }
 
 // reservation is a portion of a budget that this VM has reserved.
@@ -116,6 +121,8 @@
 	timeout time.Duration
 	onError func(error)
 	onUse   func(ident.ProgramID)
+	// placements has the engines of the programs whose turns this VM grants.
+	placements *placementkeeper.Placementkeeper
 
 	mu           sync.Mutex
 	reservations map[ident.ProgramID]*reservation
@@ -147,7 +154,7 @@
 // context ends.
 func New(ctx context.Context, store rows.Store, timers *timer.Service, options ...Option) *Escrow {
 	e := &Escrow{
-		store: store, timers: timers, timeout: DefaultTimeout, onError: func(error) {}, onUse: func(ident.ProgramID) {},
+		store: store, timers: timers, placements: placementkeeper.New(timers), timeout: DefaultTimeout, onError: func(error) {}, onUse: func(ident.ProgramID) {},
 		reservations: map[ident.ProgramID]*reservation{}, grants: map[string]openGrant{}, exhausted: map[ident.ProgramID]exhaustion{}, fetches: map[ident.ProgramID]*fetch{},
 	}
 	for _, option := range options {
@@ -212,7 +219,7 @@
 		p.remaining -= r.MaxTokens
 		p.open++
 		p.touched = e.timers.Now()
-		grant := Grant{ID: uuid.NewString(), Program: r.Program, MaxTokens: r.MaxTokens}
+		grant := Grant{ID: uuid.NewString(), Program: r.Program, MaxTokens: r.MaxTokens, Engine: e.placements.Find(r.Program)}
 		e.grants[grant.ID] = openGrant{reservation: p, maxTokens: r.MaxTokens, at: p.touched}
 		return grant, nil, nil
 	}
--- a/internal/escrow/settle.go
+++ b/internal/escrow/settle.go
@@ -38,8 +38,10 @@
 	flushTimeout = 700 * time.Millisecond
 )
 
-// Return ends a grant, given the number of tokens that the caller received.
+// Return ends a grant, given the number of tokens that the caller received. The engine of
+// the grant is remembered as that of the program, also if the grant has expired.
 func (e *Escrow) Return(g Grant, used unit.Tokens) {
+	e.placements.Keep(g.Program, g.Engine)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if open, ok := e.grants[g.ID]; ok {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -108,7 +108,7 @@
 		f.ticket = t
 		return message.ChooseUpstream{
 			Ticket: t, Pool: f.x.Pool, Route: f.x.Route, Affinity: affinity(f.x), Prompt: f.x.Request.Prompt,
-			Tried: f.tried,
+			Placement: f.x.Placement, Tried: f.tried,
 		}
 	})
 	if err != nil {
@@ -119,6 +119,9 @@
 		return outcome.UpstreamChosen{}, failure.New(failure.Internal, "unexpected answer %T to the choice of an upstream; report this", answer)
 	}
 	f.x.Trace.ListAge = chosen.ListAge
+	if len(f.tried) == 0 {
+		f.x.Trace.Basis = chosen.Basis
+	}
 	return chosen, nil
 }
 
@@ -159,6 +162,9 @@
 	f.reportNotice(chosen, answer)
 	f.broken, f.progress = false, progress{}
 	next, result := f.handle(ctx, started, answer)
+	if _, answered := result.(message.UpstreamAnswered); answered || f.progress.begun() {
+		f.x.Trace.Served = chosen.Upstream.Process()
+	}
 	ended := f.timers.Now()
 	crashed := f.broken && f.isDown(ctx, chosen.Upstream)
 	if crashed {
--- a/internal/filter/forwarder/progress.go
+++ b/internal/filter/forwarder/progress.go
@@ -35,6 +35,9 @@
 	return now.Sub(p.reportedAt) >= reportInterval
 }
 
+// begun reports whether an event was forwarded.
+func (p *progress) begun() bool { return !p.waitsSince.IsZero() }
+
 // forwarded records that the caller has the event and the next one is waited for.
 func (p *progress) forwarded(now time.Time) { p.waitsSince = now }
 
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -67,6 +67,9 @@
 		}
 	}
 	t := x.Trace
+	if t.Basis != "" {
+		line.Str("upstream_basis", string(t.Basis))
+	}
 	for i, id := range t.Upstreams {
 		if i == 0 {
 			line.Str("upstream", string(id))
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -54,6 +54,7 @@
 		return err
 	}
 	x.Trace.Holder = grant.Holder
+	x.Placement = placement(x.Request.Program, grant)
 	x.Body = slices.Concat(history, x.Request.Body)
 	responder := &turnResponder{
 		Responder: x.Responder, ctx: ctx, exchange: x, ledger: t.ledger, timers: t.timers,
@@ -61,7 +62,7 @@
 	}
 	x.Responder = responder
 	err = next(ctx, x)
-	grant.Return(responder.usedTokens())
+	grant.Return(responder.usedTokens(), x.Trace.Served)
 	return err
 }
 
@@ -91,7 +92,7 @@
 		return granter.Grant{}, nil, err
 	}
 	if historyErr != nil {
-		grant.Return(0)
+		grant.Return(0, upstream.Process{})
 		return granter.Grant{}, nil, historyErr
 	}
 	return grant, history, nil
@@ -101,13 +102,26 @@
 func (t *Turnrecorder) reserve(ctx context.Context, x *traffic.Exchange) (granter.Grant, error) {
 	program := x.Request.Program
 	if program.Budget <= 0 {
-		return granter.Grant{Return: func(unit.Tokens) {}}, nil
+		return granter.Grant{Return: func(unit.Tokens, upstream.Process) {}}, nil
 	}
 	return t.granter.Take(ctx, t.domain, escrow.Request{
 		Program: program.ID, Budget: program.Budget, MaxTokens: x.Request.Prompt.Output,
 	})
 }
 
+// placement returns what is known of the engine of a turn's program. It is nothing for a
+// turn that continues another one if the VM that granted it has restarted or is new in
+// this role; the hash then finds the engine of most programs.
+func placement(p *traffic.Program, g granter.Grant) traffic.Placement {
+	switch {
+	case !g.Engine.IsZero():
+		return traffic.RememberedEngine{Process: g.Engine}
+	case p.Budget > 0 && p.Previous == "":
+		return traffic.NewProgram{}
+	}
+	return nil
+}
+
 // eventTokens returns the number of tokens in one event of the exchange's pool.
 func eventTokens(x *traffic.Exchange) unit.Tokens {
 	if engine := x.Table.Pools[x.Pool].Engine; engine != nil && engine.EventTokens > 0 {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -22,6 +22,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/partitioner"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
@@ -64,8 +65,12 @@
 
 // Grant permits one turn.
 type Grant struct {
-	// Return ends the grant, given the number of tokens that the caller received.
-	Return func(used unit.Tokens)
+	// Return ends the grant, given the number of tokens that the caller received and the
+	// engine that served the turn, zero if none did.
+	Return func(used unit.Tokens, served upstream.Process)
+	// Engine is the engine that served the program before, zero if the holder of the
+	// budget remembers none.
+	Engine upstream.Process
 	// Holder is the VM whose budget reservation the turn uses.
 	Holder ident.VMID
 }
@@ -75,7 +80,9 @@
 	if home, ok := g.homeMember(domain, r.Program); ok && home.VM != g.self {
 		grant, err := g.takeFromPeer(ctx, home.PeerAddress, r)
 		if err == nil {
-			return Grant{Holder: home.VM, Return: func(used unit.Tokens) { g.peers.Return(home.PeerAddress, grant, used) }}, nil
+			return newGrant(home.VM, grant, func(returned escrow.Grant, used unit.Tokens) {
+				g.peers.Return(home.PeerAddress, returned, used)
+			}), nil
 		}
 		if refusal, ok := errors.AsType[*failure.Error](err); ok {
 			return Grant{}, refusal
@@ -85,7 +92,16 @@
 	if err != nil {
 		return Grant{}, err
 	}
-	return Grant{Holder: g.self, Return: func(used unit.Tokens) { g.local.Return(grant, used) }}, nil
+	return newGrant(g.self, grant, g.local.Return), nil
+}
+
+// newGrant returns the grant of a holder, which takes it back with the engine that served
+// the turn.
+func newGrant(holder ident.VMID, grant escrow.Grant, takeBack func(escrow.Grant, unit.Tokens)) Grant {
+	return Grant{Holder: holder, Engine: grant.Engine, Return: func(used unit.Tokens, served upstream.Process) {
+		grant.Engine = served
+		takeBack(grant, used)
+	}}
 }
 
 // takeFromPeer requests a grant from another VM, and retries while that VM is
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -10,20 +10,23 @@
 	"github.com/juju/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
 	"github.com/sassafrasspur/sassafrasspur/internal/granter"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 // peer responds to each call with the next entry of answers, and repeats the last
 // one. It records the addresses that were asked.
 type peer struct {
-	answers []string
-	asked   []string
+	answers  []string
+	asked    []string
+	returned escrow.Grant
 }
 
 func (p *peer) Take(ctx context.Context, address string, _ escrow.Request) (escrow.Grant, error) {
@@ -51,10 +54,10 @@
 	case "held":
 		return escrow.Grant{}, failure.Refusal(failure.Overloaded, time.Second, "held")
 	}
-	return escrow.Grant{ID: "grant"}, nil
+	return escrow.Grant{ID: "grant", Engine: upstream.Process{ID: "known-to-home"}}, nil
 }
 
-func (p *peer) Return(string, escrow.Grant, unit.Tokens) {}
+func (p *peer) Return(_ string, g escrow.Grant, _ unit.Tokens) { p.returned = g }
 
 // localEscrow is the escrow of this VM. It grants a turn unless its context has
 // ended.
@@ -65,10 +68,10 @@
 	if ctx.Err() != nil {
 		return escrow.Grant{}, failure.Refusal(failure.PlatformUnavailable, time.Second, "no time is left")
 	}
-	return escrow.Grant{ID: "grant"}, nil
+	return escrow.Grant{ID: "grant", Engine: upstream.Process{ID: "known-here"}}, nil
 }
 
-func (l localEscrow) Return(escrow.Grant, unit.Tokens) {}
+func (l localEscrow) Return(g escrow.Grant, _ unit.Tokens) { l.returned = g }
 
 // Guards against a second budget reservation while the home VM is waiting for the
 // store, which multiplied the load on a store that recovered from an outage, and
@@ -98,3 +101,19 @@
 		return outcome + "; asked " + asked
 	})).To(Succeed())
 }
+
+// Guards against a program that loses its engine at each turn: the grant must carry the
+// engine that its holder remembers, and its return the one that served the turn.
+func TestEngineOfProgram(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct{ home, remembered string }{{"granted", "known-to-home"}, {"unreachable", "known-here"}} {
+		p := &peer{answers: []string{c.home}}
+		members := []snapshot.Member{{VM: "home", Domain: "d", PeerAddress: "home"}}
+		taker := granter.New("self", localEscrow{p}, p, timer.New(), func() []snapshot.Member { return members })
+		grant, err := taker.Take(context.Background(), "d", escrow.Request{Program: "p", Budget: 10, MaxTokens: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(grant.Engine).To(Equal(upstream.Process{ID: ident.UpstreamID(c.remembered)}))
+		grant.Return(1, upstream.Process{ID: "served", Incarnation: 2})
+		g.Expect(p.returned).To(Equal(escrow.Grant{ID: "grant", Engine: upstream.Process{ID: "served", Incarnation: 2}}))
+	}
+}
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -130,6 +130,8 @@
 	// same key should reach the same upstream. It is empty for no affinity.
 	Affinity string
 	Prompt   *traffic.Prompt
+	// Placement is what is known of the engine of the call's program, nil for nothing.
+	Placement traffic.Placement
 	// Tried lists the upstreams that were tried for the same request.
 	Tried []ident.UpstreamID
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -87,6 +87,7 @@
 type UpstreamChosen struct {
 	Upstream upstream.Upstream
 	Urgency  upstream.Urgency
+	Basis    upstream.Basis
 	// ListAge is the age of the list that the upstream was chosen from.
 	ListAge time.Duration
 	// IdleTimeout is the time without a byte from the upstream after which a call
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -144,3 +144,21 @@
 	_, err = other.Members(context.Background(), effect.FetchMembers{Address: empty})
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a home VM that does not learn over the link which engine served a turn, or
+// does not pass it on with the next grant.
+func TestEngineOfProgram(t *testing.T) {
+	g := NewWithT(t)
+	address, link := startPeer(t, snapshot.Entry{})
+	request := escrow.Request{Program: "p", Budget: 100, MaxTokens: 10}
+	grant, err := link.Take(context.Background(), address, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(grant.Engine.IsZero()).To(BeTrue())
+	grant.Engine = upstream.Process{ID: "e1", Incarnation: 1 << 60}
+	link.Return(address, grant, 1)
+	g.Eventually(func() (upstream.Process, error) {
+		next, err := link.Take(context.Background(), address, request)
+		link.Return(address, escrow.Grant{ID: next.ID, Program: "p"}, 0)
+		return next.Engine, err
+	}).Should(Equal(grant.Engine))
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -94,6 +94,8 @@
 	Pool     ident.PoolID
 	// Account is nil if the request has none.
 	Account *clientaccount.Account
+	// Placement is what is known of the engine of the request's program, nil for nothing.
+	Placement Placement
 	// Body is the request body sent to the upstream.
 	Body []byte
 	// Responder receives the answer.
@@ -125,6 +127,10 @@
 	Status int
 	// Upstreams has the upstreams that the request was sent to, in order.
 	Upstreams []ident.UpstreamID
+	// Basis says why the first of them was chosen.
+	Basis upstream.Basis
+	// Served is the last upstream that answered or sent an event, zero if none did.
+	Served upstream.Process
 	// Refusals counts the upstreams that reported that they did not run the
 	// request.
 	Refusals int
