balancer: prefer the engine that a home VM remembers of a program

The exchange carries the engine that the grant of a turn names to the choice of the upstream. It is chosen unless it is leaving, gone, started again, to be avoided, or full; load does not move the program, since moved prompts are computed again. Programs still move to an engine whose request limit allows a call, and such an engine is not remembered. The line "request ended" names the basis of the first choice.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/outcome"
 	"github.com/sassafrasspur/sassafrasspur/internal/poolestimator"
+	"github.com/sassafrasspur/sassafrasspur/internal/readerselector"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
@@ -38,6 +39,9 @@
 	asOf    time.Time
 	// serving has the VMs that serve callers, none before the first list.
 	serving []snapshot.Member
+	// placesPrograms is true if the engines of programs are remembered and new programs
+	// are placed by load: in large failure domains.
+	placesPrograms bool
 	// limits has the request limits of upstreams. It is immutable.
 	limits map[ident.UpstreamID]unit.Rate
 	// leaving has the upstreams that said in an answer that they leave.
@@ -89,6 +93,7 @@
 	case message.MembersListed:
 		changed := !slices.Equal(b.serving, m.Serving)
 		b.serving = m.Serving
+		b.placesPrograms = readerselector.IsLargeDomain(b.location.Domain, m.Serving)
 		if changed {
 			b.updateAllowances(now)
 		}
@@ -110,14 +115,14 @@
 
 // choose answers a request for an upstream and counts the call as in flight.
 func (b *Balancer) choose(now time.Time, m message.ChooseUpstream) outcome.Outcome {
-	chosen, isPreferred := b.cheapest(now, m)
-	if chosen == nil {
+	chosen := b.selectUpstream(now, m)
+	if chosen.upstreamState == nil {
 		return outcome.Refused{Err: failure.Refusal(failure.NoUpstream, b.retryAfter(now, m.Pool),
 			"no upstream of pool %s can accept the request; retry later", m.Pool)}
 	}
-	b.startCall(now, chosen, m, isPreferred)
+	b.startCall(now, chosen.upstreamState, m, chosen.isCached)
 	return outcome.UpstreamChosen{
-		Upstream: chosen.Upstream, Urgency: urgency(m.Route), ListAge: now.Sub(b.asOf), IdleTimeout: b.idleTimeout(now, m),
+		Upstream: chosen.Upstream, Urgency: urgency(m.Route), Basis: chosen.basis, ListAge: now.Sub(b.asOf), IdleTimeout: b.idleTimeout(now, m),
 		Limit: b.limits[chosen.ID],
 	}
 }
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -37,15 +37,14 @@
 	maxJitter cost = 4
 )
 
-// cheapest returns the upstream with the lowest cost, or nil if there is none, and
-// whether it is the preferred one of the call's affinity key.
-func (b *Balancer) cheapest(now time.Time, m message.ChooseUpstream) (*upstreamState, bool) {
-	preferred := b.affinityUpstream(now, m)
+// cheapest returns the upstream with the lowest cost, or nil if there is none, given the
+// one that has the call's prompt in its cache.
+func (b *Balancer) cheapest(now time.Time, m message.ChooseUpstream, preferred ident.UpstreamID) *upstreamState {
 	limit := b.connectionLimit(m.Pool)
 	var best *upstreamState
 	var lowest cost
 	for _, s := range b.upstreams[m.Pool] {
-		if s.Leaving || slices.Contains(m.Tried, s.ID) || s.InFlight() >= limit || !s.allowance.allows(now) {
+		if !s.accepts(now, m, limit) {
 			continue
 		}
 		c := b.cost(now, s, m, s.ID == preferred) + cost(b.random.Float64())*maxJitter
@@ -53,7 +52,18 @@
 			best, lowest = s, c
 		}
 	}
-	return best, best != nil && best.ID == preferred
+	return best
+}
+
+// accepts reports whether a call can be sent to the upstream, given the number of
+// connections that this VM may have to it.
+func (s *upstreamState) accepts(now time.Time, m message.ChooseUpstream, connections int) bool {
+	return !s.Leaving && !slices.Contains(m.Tried, s.ID) && s.InFlight() < connections && s.allowance.allows(now)
+}
+
+// mustAvoid reports whether a call is sent to the upstream only if there is no other.
+func (s *upstreamState) mustAvoid(now time.Time, m message.ChooseUpstream) bool {
+	return s.IsAvoided(now) || s.IsSuspect(now) && !m.Route.Repeatable()
 }
 
 // connectionLimit returns how many connections this VM may have to one upstream.
@@ -68,7 +78,7 @@
 // cost returns the expected cost of a call at an upstream.
 func (b *Balancer) cost(now time.Time, s *upstreamState, m message.ChooseUpstream, isPreferred bool) cost {
 	c := b.distanceCost(s)
-	if s.IsAvoided(now) || s.IsSuspect(now) && !m.Route.Repeatable() {
+	if s.mustAvoid(now, m) {
 		c += avoidanceCost
 	}
 	if !s.HasIdleConnection(now) {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -162,7 +162,7 @@
 	f.reportNotice(chosen, answer)
 	f.broken, f.progress = false, progress{}
 	next, result := f.handle(ctx, started, answer)
-	if _, answered := result.(message.UpstreamAnswered); answered || f.progress.begun() {
+	if f.hasServed(result) {
 		f.x.Trace.Served = chosen.Upstream.Process()
 	}
 	ended := f.timers.Now()
@@ -180,6 +180,14 @@
 	return next
 }
 
+// hasServed reports whether the upstream of the attempt has the prompt of the request. One
+// with a request limit does not become the engine of a program, since it accepts few of
+// the program's further turns.
+func (f *forwarding) hasServed(result message.UpstreamResult) bool {
+	_, answered := result.(message.UpstreamAnswered)
+	return (answered || f.progress.begun()) && f.x.Trace.UpstreamLimit == 0
+}
+
 // downTimeout bounds the check whether an upstream is down. A host whose process
 // has crashed refuses a connection within a round trip.
 const downTimeout = 200 * time.Millisecond
--- a/internal/readerselector/readerselector.go
+++ b/internal/readerselector/readerselector.go
@@ -49,7 +49,7 @@
 func (r *Readerselector) Update(serving []snapshot.Member) {
 	r.vms, r.addresses = nil, map[ident.VMID]string{}
 	for _, m := range serving {
-		if m.Domain == r.self.Domain && m.PeerAddress != "" {
+		if isMember(r.self.Domain, m) {
 			r.vms = append(r.vms, m.VM)
 			r.addresses[m.VM] = m.PeerAddress
 		}
@@ -59,6 +59,23 @@
 // IsLarge reports whether the failure domain is large enough for a shared reader.
 func (r *Readerselector) IsLarge() bool { return len(r.vms) >= largeDomainSize }
 
+// IsLargeDomain reports whether a failure domain has as many VMs that serve callers as one
+// with a shared reader.
+func IsLargeDomain(domain ident.Domain, serving []snapshot.Member) bool {
+	size := 0
+	for _, m := range serving {
+		if isMember(domain, m) {
+			size++
+		}
+	}
+	return size >= largeDomainSize
+}
+
+// isMember reports whether a VM is in a failure domain and can be asked by the others.
+func isMember(domain ident.Domain, m snapshot.Member) bool {
+	return m.Domain == domain && m.PeerAddress != ""
+}
+
 // RemoteReader returns the peer address of the reader, false if there is none, if
 // it is this VM, or if requests are suspended.
 func (r *Readerselector) RemoteReader(now time.Time) (string, bool) {
