forwarder: test which engine counts as having served a turn

The engine of a turn is remembered for its program only if it sent an event or a whole answer. The golden file of the progress now shows the engine for each case, and one case is new: an engine whose connection broke before the first event is not remembered.

--- a/internal/filter/forwarder/progress_test.go
+++ b/internal/filter/forwarder/progress_test.go
@@ -90,6 +90,9 @@
 	defer control.Close()
 	control.Post(message.UpstreamsRead{Upstreams: []upstream.Upstream{{ID: "u", Pool: "pool"}}, AsOf: timers.Now()})
 	s := &pacedStream{clock: clock, pauses: strings.Split(f["pauses"], ","), broken: f.Has("broken"), reads: f.Duration("reads")}
+	if f.Has("silent") {
+		s.pauses = nil
+	}
 	x := &traffic.Exchange{
 		Request: traffic.Request{ID: "request"}, Pool: "pool", Deadline: timers.Now().Add(time.Minute),
 		Route: &routing.Route{Kind: routing.Stream{}, Attempts: 1}, Responder: s,
@@ -103,12 +106,13 @@
 	for report := range recorder.reports {
 		reports = append(reports, report)
 	}
-	return strings.Join(reports, "; ")
+	return strings.Join(append(reports, "served="+string(x.Trace.Served.ID)), "; ")
 }
 
 // TestProgress guards against an engine whose speed is learned only when its calls end,
 // against a message to the control goroutine for each event, and against an engine that
-// looks slow because a caller reads slowly.
+// looks slow because a caller reads slowly. It also guards against an engine that is not
+// remembered although it computed a prompt, or remembered although it did not.
 func TestProgress(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/progress/*.txtar", reportedProgress)).To(Succeed())
 }
