balancer: place new programs by load and speed

Turns stay at the engine of their program, so load can only be balanced where a program starts, or where its engine is gone. The program goes to the first engine by hash unless the second is expected to end the call 15 to 45% earlier, drawn by the program's hash, or the third 70%; other regions count if that is 70% earlier than anywhere in this one. The forecast uses learned speeds, reported loads and own calls.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -88,6 +88,8 @@
 		b.setUpstreams(now, m)
 		b.addAllowances(now)
 		b.applyLeaving(now)
+	case message.EngineLoadsRead:
+		b.setLoads(m)
 	case message.UpstreamNoticed:
 		b.noteLeaving(now, m)
 	case message.MembersListed:
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -94,7 +94,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(paths).NotTo(BeEmpty())
 	for _, path := range paths {
-		g.Expect(goldentest.Check(path, newDecider())).To(Succeed())
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			NewWithT(t).Expect(goldentest.Check(path, newDecider())).To(Succeed())
+		})
 	}
 }
 
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -152,13 +152,18 @@
 		if s.Leaving || !eligible(s) {
 			continue
 		}
-		if hash := xxhash.Sum64String(m.Affinity + "/" + string(s.ID)); selected == nil || hash > highest {
+		if hash := affinityHash(m, s); selected == nil || hash > highest {
 			selected, highest = s, hash
 		}
 	}
 	return selected
 }
 
+// affinityHash returns the hash by which an affinity key prefers an upstream.
+func affinityHash(m message.ChooseUpstream, s *upstreamState) uint64 {
+	return xxhash.Sum64String(m.Affinity + "/" + string(s.ID))
+}
+
 // isInRegion reports whether an upstream is in the VM's region.
 func (b *Balancer) isInRegion(s *upstreamState) bool {
 	return b.location.Regions[s.Domain] == b.location.Region
--- a/internal/balancer/placement.go
+++ b/internal/balancer/placement.go
@@ -40,7 +40,8 @@
 }
 
 // placement returns the engine of a call's program, or nil if the call is served like one
-// of no program. A program stays at its engine, also if others have less load: a trial in
+// of no program. A new program, and one whose engine can't serve it, is placed by load. A
+// program stays at its engine, also if others have less load: a trial in
 // which turns moved to the engine with the earliest expected end doubled the prompt tokens
 // that all engines computed on a loaded day.
 func (b *Balancer) placement(now time.Time, m message.ChooseUpstream) (*upstreamState, upstream.Basis) {
@@ -53,8 +54,10 @@
 			return s, upstream.Remembered
 		}
 	case traffic.NewProgram:
+	case nil:
+		return nil, ""
 	}
-	return nil, ""
+	return b.place(now, m)
 }
 
 // isUsable reports whether an engine can be the one of a program: it accepts the call, does
--- a/internal/balancer/placement_test.go
+++ b/internal/balancer/placement_test.go
@@ -18,6 +18,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 // site has the balancer of a VM in failure domain d1 of region r1, and the programs that
@@ -99,26 +100,24 @@
 	return fmt.Sprintf("%v by %v moved=%d", counts, bases, moved)
 }
 
-// learn reports calls at an engine whose events take a multiple of the usual 30 ms.
-func (s *site) learn(id ident.UpstreamID, factor float64, calls int) {
+// learn reports a call at an engine whose events take a multiple of the usual 30 ms.
+func (s *site) learn(id ident.UpstreamID, factor float64) {
 	var others []ident.UpstreamID
 	for _, u := range s.list.Upstreams {
 		if u.ID != id {
 			others = append(others, u.ID)
 		}
 	}
-	for range calls {
-		before := len(s.open)
-		s.call("", nil, others...)
-		s.now = s.now.Add(10 * time.Millisecond)
-		s.balancer.Handle(s.now, message.CallProgressed{Ticket: s.ticket, Progress: message.Progress{
-			FirstEvent: time.Duration(factor * float64(100*time.Millisecond)),
-		}})
-		s.balancer.Handle(s.now, message.CallProgressed{Ticket: s.ticket, Progress: message.Progress{
-			Events: 10, Took: time.Duration(factor * float64(300*time.Millisecond)),
-		}})
-		s.endCalls(before, message.UpstreamAnswered{FirstByte: 100 * time.Millisecond})
-	}
+	before := len(s.open)
+	s.call("", nil, others...)
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.balancer.Handle(s.now, message.CallProgressed{Ticket: s.ticket, Progress: message.Progress{
+		FirstEvent: time.Duration(factor * float64(100*time.Millisecond)),
+	}})
+	s.balancer.Handle(s.now, message.CallProgressed{Ticket: s.ticket, Progress: message.Progress{
+		Events: 10, Took: time.Duration(factor * float64(300*time.Millisecond)),
+	}})
+	s.endCalls(before, message.UpstreamAnswered{FirstByte: 100 * time.Millisecond})
 }
 
 // pairs calls do for each entry of a list of id:value.
@@ -137,10 +136,8 @@
 	}
 }
 
-// decide applies one line.
-func (s *site) decide(line string) string {
-	f := goldentest.Parse(line)
-	s.now = s.now.Add(f.Duration("after"))
+// setUp applies a line that changes what the balancer knows.
+func (s *site) setUp(f goldentest.Fields) {
 	switch {
 	case f.Has("vms"):
 		var m message.MembersListed
@@ -160,18 +157,33 @@
 	case f.Has("loads"):
 		loads := map[ident.UpstreamID]upstream.Load{}
 		pairs(f["loads"], func(id ident.UpstreamID, v []float64) {
-			load := upstream.Load{Running: int(v[0]), MemoryTotal: 100}
+			load := upstream.Load{Running: int(v[0]), MemoryTotal: 100_000}
 			if len(v) > 1 {
 				load.Waiting = int(v[1])
 			}
 			if len(v) > 2 {
-				load.MemoryUsed = 100
+				load.MemoryUsed = 100_000
 			}
 			loads[id] = load
 		})
 		s.balancer.Handle(s.now, message.EngineLoadsRead{Loads: loads, AsOf: s.now.Add(-f.Duration("age"))})
 	case f.Has("speeds"):
-		pairs(f["speeds"], func(id ident.UpstreamID, v []float64) { s.learn(id, v[0], max(f.Int("calls"), 1)) })
+		for range max(f.Int("rounds"), 1) {
+			pairs(f["speeds"], func(id ident.UpstreamID, v []float64) { s.learn(id, v[0]) })
+		}
+	case f.Has("limits"):
+		limits := map[ident.UpstreamID]unit.Rate{}
+		pairs(f["limits"], func(id ident.UpstreamID, v []float64) { limits[id] = unit.Rate(v[0]) })
+		s.balancer.Handle(s.now, message.UpstreamLimitsChanged{Limits: limits})
+	}
+}
+
+// decide applies one line.
+func (s *site) decide(line string) string {
+	f := goldentest.Parse(line)
+	s.now = s.now.Add(f.Duration("after"))
+	s.setUp(f)
+	switch {
 	case f.Has("end"):
 		s.endCalls(0, result(f))
 	case f.Has("new"):
@@ -199,3 +211,10 @@
 func TestRememberedEngine(t *testing.T) {
 	checkEach(t, "testdata/remembered/*.txtar", func() func(string) string { return newSite().decide })
 }
+
+// TestPlacement guards, under load patterns that each file names, against new programs at
+// engines that are slow or loaded, against running programs that move with the load, and
+// against VMs that all pick one engine.
+func TestPlacement(t *testing.T) {
+	checkEach(t, "testdata/placement/*.txtar", func() func(string) string { return newSite().decide })
+}
--- a/internal/balancer/state.go
+++ b/internal/balancer/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/loadestimator"
 	"github.com/sassafrasspur/sassafrasspur/internal/message"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstreamrecorder"
@@ -28,6 +29,8 @@
 	*upstreamrecorder.Recorder
 	// allowance is nil if the upstream named no request limit.
 	allowance *allowance
+	// reported is the load that the engine reported.
+	reported loadestimator.Estimator
 	// isSlow is true if the upstream was last reported as slow.
 	isSlow bool
 }
