--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -8,10 +8,12 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
 // Meter records metrics of exchanges.
@@ -19,6 +21,9 @@
 	// ObserveExchange records an exchange under the class of its route and its
 	// outcome. The time to the first event is not observed if first is 0.
 	ObserveExchange(class, outcome string, first, totalTime time.Duration)
+	// CountPlacement counts an exchange by the basis on which its upstream was chosen.
+	// moved is true if its program left the engine that was remembered.
+	CountPlacement(basis upstream.Basis, moved bool)
 }
 
 // Reporter logs and measures exchanges.
@@ -52,6 +57,10 @@
 	}
 	line.Msg("request ended")
 	r.meter.ObserveExchange(class(x), outcome, x.Trace.FirstEvent, totalTime)
+	if x.Trace.Basis != "" {
+		_, moved := leftEngine(x)
+		r.meter.CountPlacement(x.Trace.Basis, moved)
+	}
 	return err
 }
 
@@ -70,6 +79,9 @@
 	if t.Basis != "" {
 		line.Str("upstream_basis", string(t.Basis))
 	}
+	if left, moved := leftEngine(x); moved {
+		line.Str("left_upstream", string(left))
+	}
 	for i, id := range t.Upstreams {
 		if i == 0 {
 			line.Str("upstream", string(id))
@@ -95,6 +107,16 @@
 	}
 }
 
+// leftEngine returns the remembered engine of the exchange's program if the request was
+// first sent to another one.
+func leftEngine(x *traffic.Exchange) (ident.UpstreamID, bool) {
+	remembered, ok := x.Placement.(traffic.RememberedEngine)
+	if !ok || x.Trace.Basis == "" || x.Trace.Basis == upstream.Remembered {
+		return "", false
+	}
+	return remembered.ID, true
+}
+
 // class returns the label under which metrics group the exchange.
 func class(x *traffic.Exchange) string {
 	if x.Route == nil {
--- a/internal/meter/speed.go
+++ b/internal/meter/speed.go
@@ -5,6 +5,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/poolestimator"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
 // ObservePool records the learned figures of the engines of a pool.
@@ -28,3 +29,9 @@
 func (m *Meter) CountSlowEngine(slow bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_engine_speed_changes_total{slow="%t"}`, slow)).Inc()
 }
+
+// CountPlacement counts a request with an affinity key by the basis on which its upstream
+// was chosen.
+func (m *Meter) CountPlacement(basis upstream.Basis, moved bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_placements_total{basis="%s",moved="%t"}`, basis, moved)).Inc()
+}
