reporter: report a program as moved only if its upstream differs

In a small failure domain the remembered engine is not used, and each turn that the hash sent to that same engine was reported as moved: 150 of 180 turns in a trial with 5 VMs on loopback. The first upstream is now compared; the same trial reports 2, after a refusal. With 6 VMs, 150 of 180 turns went by the remembered engine, the 30 first ones by the hash, and none moved.

--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -111,7 +111,7 @@
 // first sent to another one.
 func leftEngine(x *traffic.Exchange) (ident.UpstreamID, bool) {
 	remembered, ok := x.Placement.(traffic.RememberedEngine)
-	if !ok || x.Trace.Basis == "" || x.Trace.Basis == upstream.Remembered {
+	if !ok || len(x.Trace.Upstreams) == 0 || x.Trace.Upstreams[0] == remembered.ID {
 		return "", false
 	}
 	return remembered.ID, true
