--- a/internal/filter/forwarder/progress_test.go
+++ b/internal/filter/forwarder/progress_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 // progressRecorder records the reported progress.
@@ -48,10 +50,11 @@
 	sent   int
 	broken bool
 	reads  time.Duration
+	limit  unit.Rate
 }
 
 func (s *pacedStream) Call(context.Context, upstream.Call) upstream.Answer {
-	return upstream.Streaming{Status: http.StatusOK, Events: s}
+	return upstream.Streaming{Status: http.StatusOK, Events: s, Notice: upstream.Notice{Limit: s.limit}}
 }
 
 func (s *pacedStream) IsDown(context.Context, upstream.Upstream) bool { return false }
@@ -89,13 +92,15 @@
 		executor.WithControllers(balancer.New(balancer.Location{}, 1), recorder))
 	defer control.Close()
 	control.Post(message.UpstreamsRead{Upstreams: []upstream.Upstream{{ID: "u", Pool: "pool"}}, AsOf: timers.Now()})
-	s := &pacedStream{clock: clock, pauses: strings.Split(f["pauses"], ","), broken: f.Has("broken"), reads: f.Duration("reads")}
+	control.Post(message.MembersListed{Serving: slices.Repeat([]snapshot.Member{{PeerAddress: "peer"}}, 6)})
+	s := &pacedStream{clock: clock, pauses: strings.Split(f["pauses"], ","), broken: f.Has("broken"), reads: f.Duration("reads"), limit: unit.Rate(f.Float("limit"))}
 	if f.Has("silent") {
 		s.pauses = nil
 	}
 	x := &traffic.Exchange{
-		Request: traffic.Request{ID: "request"}, Pool: "pool", Deadline: timers.Now().Add(time.Minute),
-		Route: &routing.Route{Kind: routing.Stream{}, Attempts: 1}, Responder: s,
+		Request: traffic.Request{ID: "request", Program: &traffic.Program{ID: "program"}}, Pool: "pool", Deadline: timers.Now().Add(time.Minute),
+		Route: &routing.Route{Kind: routing.Stream{}, Attempts: 1, Sticky: true}, Responder: s,
+		Placement: traffic.RememberedEngine{Process: upstream.Process{ID: "u"}},
 	}
 	if !f.Has("service") {
 		x.Request.Prompt = &traffic.Prompt{Input: 1000}
@@ -106,13 +111,14 @@
 	for report := range recorder.reports {
 		reports = append(reports, report)
 	}
-	return strings.Join(append(reports, "served="+string(x.Trace.Served.ID)), "; ")
+	return strings.Join(append(reports, fmt.Sprintf("basis=%s served=%s", x.Trace.Basis, x.Trace.Served.ID)), "; ")
 }
 
 // TestProgress guards against an engine whose speed is learned only when its calls end,
 // against a message to the control goroutine for each event, and against an engine that
 // looks slow because a caller reads slowly. It also guards against an engine that is not
-// remembered although it computed a prompt, or remembered although it did not.
+// remembered although it computed a prompt, or remembered although it did not or has a
+// request limit, and against a remembered engine that the balancer does not learn of.
 func TestProgress(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/progress/*.txtar", reportedProgress)).To(Succeed())
 }
