--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -29,9 +29,6 @@
 	// call now. It outweighs the recomputation of a usual prompt: what a limit allows
 	// and nobody uses is load on the upstreams without a limit.
 	limitedDiscount cost = 60
-	// prefillTokensPerMs is the number of prompt tokens that an engine processes
-	// in a millisecond.
-	prefillTokensPerMs = 30.6
 	// connectionSetupCost is the cost of opening a connection: its round trips
 	// and its price. It makes a VM concentrate its calls on few upstreams.
 	connectionSetupCost cost = 15
@@ -40,14 +37,14 @@
 	maxJitter cost = 4
 )
 
-// cheapest returns the upstream with the lowest cost, or nil if there is none.
-func (b *Balancer) cheapest(now time.Time, m message.ChooseUpstream) *upstreamState {
-	preferred := b.affinityUpstream(now, m)
+// cheapest returns the upstream with the lowest cost, or nil if there is none, given the
+// one that has the call's prompt in its cache.
+func (b *Balancer) cheapest(now time.Time, m message.ChooseUpstream, preferred ident.UpstreamID) *upstreamState {
 	limit := b.connectionLimit(m.Pool)
 	var best *upstreamState
 	var lowest cost
 	for _, s := range b.upstreams[m.Pool] {
-		if s.Leaving || slices.Contains(m.Tried, s.ID) || s.inFlight >= limit || !s.allowance.allows(now) {
+		if !s.accepts(now, m, limit) {
 			continue
 		}
 		c := b.cost(now, s, m, s.ID == preferred) + cost(b.random.Float64())*maxJitter
@@ -58,6 +55,17 @@
 	return best
 }
 
+// accepts reports whether a call can be sent to the upstream, given the number of
+// connections that this VM may have to it.
+func (s *upstreamState) accepts(now time.Time, m message.ChooseUpstream, connections int) bool {
+	return !s.Leaving && !slices.Contains(m.Tried, s.ID) && s.InFlight() < connections && s.allowance.allows(now)
+}
+
+// mustAvoid reports whether a call is sent to the upstream only if there is no other.
+func (s *upstreamState) mustAvoid(now time.Time, m message.ChooseUpstream) bool {
+	return s.IsAvoided(now) || s.IsSuspect(now) && !m.Route.Repeatable()
+}
+
 // connectionLimit returns how many connections this VM may have to one upstream.
 // The serving VMs divide the connections that an upstream accepts.
 func (b *Balancer) connectionLimit(pool ident.PoolID) int {
@@ -70,21 +78,21 @@
 // cost returns the expected cost of a call at an upstream.
 func (b *Balancer) cost(now time.Time, s *upstreamState, m message.ChooseUpstream, isPreferred bool) cost {
 	c := b.distanceCost(s)
-	if now.Before(s.avoidUntil) || s.isSuspect(now) && !m.Route.Repeatable() {
+	if s.mustAvoid(now, m) {
 		c += avoidanceCost
 	}
-	if !s.hasIdleConnection(now) {
+	if !s.HasIdleConnection(now) {
 		c += connectionSetupCost
 	}
 	if s.allowance != nil {
 		c -= limitedDiscount
 	}
 	if m.Prompt == nil {
-		return c + cost(s.inFlight+1)*milliseconds(b.expectedFirstByte(m.Route.ID))*cost(s.currentRelativeLatency(now))
+		return c + cost(s.InFlight()+1)*milliseconds(b.expectedFirstByte(m.Route.ID))*cost(s.RelativeLatency(now))
 	}
-	c += cost(s.inFlight) * inFlightCost
+	c += cost(s.InFlight()) * inFlightCost
 	if !isPreferred {
-		c += cost(unsharedTokens(m)) / prefillTokensPerMs
+		c += cost(float64(unsharedTokens(m)) / b.pool(m.Pool).PrefillRate(now))
 	}
 	return c
 }
@@ -144,13 +152,18 @@
 		if s.Leaving || !eligible(s) {
 			continue
 		}
-		if hash := xxhash.Sum64String(m.Affinity + "/" + string(s.ID)); selected == nil || hash > highest {
+		if hash := affinityHash(m, s); selected == nil || hash > highest {
 			selected, highest = s, hash
 		}
 	}
 	return selected
 }
 
+// affinityHash returns the hash by which an affinity key prefers an upstream.
+func affinityHash(m message.ChooseUpstream, s *upstreamState) uint64 {
+	return xxhash.Sum64String(m.Affinity + "/" + string(s.ID))
+}
+
 // isInRegion reports whether an upstream is in the VM's region.
 func (b *Balancer) isInRegion(s *upstreamState) bool {
 	return b.location.Regions[s.Domain] == b.location.Region
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -80,6 +80,8 @@
 	// broken is true if the connection broke in the current attempt before an answer
 	// or an event.
 	broken bool
+	// progress is that of the current attempt.
+	progress progress
 }
 
 // step is the next step after an attempt. The interface is sealed: the variants are
@@ -138,7 +140,7 @@
 		f.ticket = t
 		return message.ChooseUpstream{
 			Ticket: t, Pool: f.x.Pool, Route: f.x.Route, Priority: f.x.Priority(), Affinity: affinity(f.x), Prompt: f.x.Request.Prompt,
-			Tried: f.tried,
+			Placement: f.x.Placement, Tried: f.tried,
 		}
 	})
 	if err != nil {
@@ -149,6 +151,9 @@
 		return outcome.UpstreamChosen{}, failure.New(failure.Internal, "unexpected answer %T to the choice of an upstream; report this", answer)
 	}
 	f.x.Trace.ListAge = chosen.ListAge
+	if len(f.tried) == 0 {
+		f.x.Trace.Basis = chosen.Basis
+	}
 	return chosen, nil
 }
 
@@ -203,8 +208,11 @@
 		Repeatable: f.x.Route.Repeatable(),
 	})
 	f.reportNotice(chosen, answer)
-	f.broken = false
+	f.broken, f.progress = false, progress{}
 	next, result := f.handle(ctx, started, answer)
+	if f.hasServed(result) {
+		f.x.Trace.Served = chosen.Upstream.Process()
+	}
 	ended := f.timers.Now()
 	crashed := f.broken && f.isDown(ctx, chosen.Upstream)
 	if crashed {
@@ -212,7 +220,7 @@
 	}
 	f.control.Post(message.CallEnded{
 		Ticket: f.ticket, Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
-		Target: f.x.Request.TargetFingerprint(), Result: result,
+		Target: f.x.Request.TargetFingerprint(), Result: result, Progress: f.progress.unreported, Answer: f.progress.answer(result),
 	})
 	if crashed && f.reportCrash(ctx, chosen.Upstream, started, ended) {
 		return finished{failure.New(failure.UpstreamFailed, "upstreams crash while they have this request; it may have run")}
@@ -220,6 +228,14 @@
 	return next
 }
 
+// hasServed reports whether the upstream of the attempt has the prompt of the request. One
+// with a request limit does not become the engine of a program, since it accepts few of
+// the program's further turns.
+func (f *forwarding) hasServed(result message.UpstreamResult) bool {
+	_, answered := result.(message.UpstreamAnswered)
+	return (answered || f.progress.begun()) && f.x.Trace.UpstreamLimit == 0
+}
+
 // downTimeout bounds the check whether an upstream is down. A host whose process
 // has crashed refuses a connection within a round trip.
 const downTimeout = 200 * time.Millisecond
@@ -343,12 +359,16 @@
 		if result.FirstByte == 0 {
 			result.FirstByte = lastReceived.Sub(started)
 		}
+		if f.progress.received(started, lastReceived) && f.x.Request.Prompt != nil {
+			f.control.Post(message.CallProgressed{Ticket: f.ticket, Progress: f.progress.take(lastReceived)})
+		}
 		if event.ID <= f.lastEvent {
 			return finished{failure.New(failure.UpstreamFailed, "the upstream repeated event %d", event.ID)}, message.UpstreamFailed{Connected: true}
 		}
 		if err := f.forwardEvent(a, event); err != nil {
 			return finished{err}, message.UpstreamAbandoned{}
 		}
+		f.progress.forwarded(f.timers.Now())
 	}
 }
 
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -13,6 +13,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
 // Meter records metrics of exchanges.
@@ -22,6 +23,9 @@
 	ObserveExchange(class, outcome string, first, totalTime time.Duration)
 	// ObserveAccount records the outcome of an exchange of a client account.
 	ObserveAccount(account ident.AccountID, outcome string)
+	// CountPlacement counts an exchange by the basis on which its upstream was chosen.
+	// moved is true if its program left the engine that was remembered.
+	CountPlacement(basis upstream.Basis, moved bool)
 }
 
 // Reporter logs and measures exchanges.
@@ -58,6 +62,10 @@
 	if x.AccountsListed {
 		r.meter.ObserveAccount(x.AccountID(), outcome)
 	}
+	if x.Trace.Basis != "" {
+		_, moved := leftEngine(x)
+		r.meter.CountPlacement(x.Trace.Basis, moved)
+	}
 	return err
 }
 
@@ -76,6 +84,12 @@
 		}
 	}
 	t := x.Trace
+	if t.Basis != "" {
+		line.Str("upstream_basis", string(t.Basis))
+	}
+	if left, moved := leftEngine(x); moved {
+		line.Str("left_upstream", string(left))
+	}
 	for i, id := range t.Upstreams {
 		if i == 0 {
 			line.Str("upstream", string(id))
@@ -101,6 +115,16 @@
 	}
 }
 
+// leftEngine returns the remembered engine of the exchange's program if the request was
+// first sent to another one.
+func leftEngine(x *traffic.Exchange) (ident.UpstreamID, bool) {
+	remembered, ok := x.Placement.(traffic.RememberedEngine)
+	if !ok || len(x.Trace.Upstreams) == 0 || x.Trace.Upstreams[0] == remembered.ID {
+		return "", false
+	}
+	return remembered.ID, true
+}
+
 // class returns the label under which metrics group the exchange.
 func class(x *traffic.Exchange) string {
 	if x.Route == nil {
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -66,6 +66,13 @@
 	AsOf      time.Time
 }
 
+// EngineLoadsRead reports the loads of engines that answered, as of a time that is not
+// later than that of any of the reports.
+type EngineLoadsRead struct {
+	Loads map[ident.UpstreamID]upstream.Load
+	AsOf  time.Time
+}
+
 // MembersListed reports the entry VMs as of a point in time.
 type MembersListed struct {
 	// Serving has the VMs that serve callers, sorted.
@@ -143,6 +150,8 @@
 	// same key should reach the same upstream. It is empty for no affinity.
 	Affinity string
 	Prompt   *traffic.Prompt
+	// Placement is what is known of the engine of the call's program, nil for nothing.
+	Placement traffic.Placement
 	// Tried lists the upstreams that were tried for the same request.
 	Tried []ident.UpstreamID
 }
@@ -192,6 +201,27 @@
 	// Target is the fingerprint of the request's target.
 	Target ident.Fingerprint
 	Result UpstreamResult
+	// Progress has the events of a stream that no message.CallProgressed reported.
+	Progress Progress
+	// Answer is the time from the first to the last event of a complete stream.
+	Answer time.Duration
+}
+
+// CallProgressed reports events of a stream that is under way.
+type CallProgressed struct {
+	// Ticket is that of the request for the upstream.
+	Ticket   ident.Ticket
+	Progress Progress
+}
+
+// Progress is the progress of a stream since the previous report.
+type Progress struct {
+	// FirstEvent is the time to the first event, 0 if it was reported before.
+	FirstEvent time.Duration
+	// Events is the number of events that followed another one, and Took the time in
+	// which the VM waited for them.
+	Events int
+	Took   time.Duration
 }
 
 func (RowsRead) sealed()              {}
@@ -200,6 +230,7 @@
 func (RowsWritten) sealed()           {}
 func (RoutesChanged) sealed()         {}
 func (UpstreamsRead) sealed()         {}
+func (EngineLoadsRead) sealed()       {}
 func (UpstreamsFetched) sealed()      {}
 func (MembersListed) sealed()         {}
 func (MembersFetched) sealed()        {}
@@ -207,6 +238,7 @@
 func (UpstreamLimitsChanged) sealed() {}
 func (ChooseUpstream) sealed()        {}
 func (CallEnded) sealed()             {}
+func (CallProgressed) sealed()        {}
 func (UpstreamCrashed) sealed()       {}
 func (SuspectAnswered) sealed()       {}
 func (TrialRequested) sealed()        {}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -15,6 +15,8 @@
 const (
 	defaultMaxTeams   = 32
 	defaultMaxClasses = 8
+	// maxPools bounds the number of pools with labels of their own. Each has 7 series.
+	maxPools = 16
 	// maxOutcomes leaves room for all kinds of package failure, of which there
 	// are 23.
 	maxOutcomes = 40
@@ -41,6 +43,7 @@
 	classes    labelLimiter
 	outcomes   labelLimiter
 	accounts   accountLabeler
+	pools      labelLimiter
 	series     map[seriesKey]*series
 	quotas     quotaCounters
 
@@ -75,6 +78,7 @@
 	}
 	m.teams, m.classes, m.outcomes = newLabelLimiter(m.maxTeams), newLabelLimiter(m.maxClasses), newLabelLimiter(maxOutcomes)
 	m.accounts = newAccountLabeler()
+	m.pools = newLabelLimiter(maxPools)
 	m.crossedAnswers = m.set.NewCounter("sassafrasspur_crossed_answers_total")
 	m.controlLoop = m.set.NewPrometheusHistogramExt("sassafrasspur_control_loop_seconds", controlLoopBuckets)
 	return m
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -100,6 +100,8 @@
 	// Permit waits until the quota of the account allows one more run of the request. Its
 	// error is a refusal. It is nil if the account has no limit.
 	Permit func(ctx context.Context) error
+	// Placement is what is known of the engine of the request's program, nil for nothing.
+	Placement Placement
 	// Body is the request body sent to the upstream.
 	Body []byte
 	// Responder receives the answer.
@@ -139,6 +141,10 @@
 	Status int
 	// Upstreams has the upstreams that the request was sent to, in order.
 	Upstreams []ident.UpstreamID
+	// Basis says why the first of them was chosen.
+	Basis upstream.Basis
+	// Served is the last upstream that answered or sent an event, zero if none did.
+	Served upstream.Process
 	// Refusals counts the upstreams that reported that they did not run the
 	// request.
 	Refusals int
