--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -34,6 +34,8 @@
 	UpstreamsAsOf time.Time
 	// Suspects has the requests with which upstreams crashed, nil if there is none.
 	Suspects map[ident.Fingerprint]Suspect
+	// PoolLoads has the pools that are short of capacity or were so recently.
+	PoolLoads map[ident.PoolID]PoolLoad
 	// Leaving is true from the shutdown request, received at LeavingSince.
 	Leaving      bool
 	LeavingSince time.Time
