poolmonitor: measure the load of pools by the VM's own calls

A decision on load needs the calls in flight against this VM's share of the slots, the wait at upstreams against what is usual when the pool is idle, and refusals, each with its age. The forwarder now reports the end of a call also if no upstream could be chosen; without that the call would count as in flight for good (TestNoUpstreamEndsCall fails without the change).

--- a/control.go
+++ b/control.go
@@ -15,6 +15,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/limitsharer"
 	"github.com/sassafrasspur/sassafrasspur/internal/placer"
+	"github.com/sassafrasspur/sassafrasspur/internal/poolmonitor"
 	"github.com/sassafrasspur/sassafrasspur/internal/provisioner"
 	"github.com/sassafrasspur/sassafrasspur/internal/releaser"
 	"github.com/sassafrasspur/sassafrasspur/internal/resolver"
@@ -59,6 +60,7 @@
 			limitsharer.New(seed, n.errorLogger("request limit rejected")),
 			crashcounter.New(seed, n.errorLogger("crash of a request rejected")),
 			balancer.New(location, seed),
+			poolmonitor.New(),
 		)
 	}
 	if n.programAPI != nil {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -110,6 +110,9 @@
 		}
 	})
 	if err != nil {
+		if failure.Is(err, failure.NoUpstream) {
+			f.control.Post(message.CallEnded{Ticket: f.ticket, Route: f.x.Route.ID, Result: message.UpstreamRefused{}})
+		}
 		return outcome.UpstreamChosen{}, err
 	}
 	chosen, ok := answer.(outcome.UpstreamChosen)
--- a/internal/message/entry.go
+++ b/internal/message/entry.go
@@ -164,7 +164,8 @@
 // CallEnded reports that a call no longer uses its upstream.
 type CallEnded struct {
 	// Ticket is that of the request for the upstream.
-	Ticket   ident.Ticket
+	Ticket ident.Ticket
+	// Upstream is empty if none could be chosen; Result is then UpstreamRefused.
 	Upstream ident.UpstreamID
 	// Incarnation is the start of the upstream that was known when the call was sent.
 	Incarnation ident.Incarnation
