--- a/chain.go
+++ b/chain.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
 	"github.com/sassafrasspur/sassafrasspur/internal/enginecaller"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/admissioncontroller"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/admitter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/authenticator"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/callreporter"
@@ -56,6 +57,7 @@
 		reporter.New(n.log.Zerolog(), n.meter, n.timers),
 		routematcher.New(n.control.Snapshot, n.timers, subscriber.MaxAge(n.settings.Ingress.RoutesLimit)),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
+		admissioncontroller.New(n.control.Snapshot, n.meter, n.timers),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers),
 		// A request is recognized by its whole body, which the turnrecorder composes.
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -90,6 +90,20 @@
 	if t.StoreDuration > 0 {
 		line.Dur("kept_ms", t.StoreDuration)
 	}
+	if t.Shed != nil {
+		describeShed(line, *t.Shed)
+	}
+}
+
+// describeShed adds the figures that decided on a refusal for load.
+func describeShed(line *zerolog.Event, s traffic.Shed) {
+	line.Str("shed", s.Reason).Int("priority", s.Priority).Str("account", string(s.Account)).
+		Float64("rank", float64(s.Rank)).Float64("level", float64(s.Load.Level)).Float64("account_excess", float64(s.Excess)).
+		Dur("left_ms", s.TimeLeft).Dur("program_use_left_ms", s.ProgramTimeLeft).Dur("estimate_ms", s.Estimate).
+		Int("pool_in_flight", s.Load.InFlight).Float64("pool_slots", s.Load.Slots).Float64("pool_occupancy", float64(s.Load.Occupancy)).
+		Float64("pool_delay_targets", float64(s.Load.RelativeDelay)).Float64("pool_refused_share", float64(s.Load.RefusedShare)).
+		Float64("pool_calls_per_s", float64(s.Load.CallsPerSecond)).Float64("pool_tokens_per_s", s.Load.TokensPerSecond).
+		Dur("evidence_age_ms", s.LoadAge)
 }
 
 // class returns the label under which metrics group the exchange.
--- a/internal/meter/exchange.go
+++ b/internal/meter/exchange.go
@@ -2,9 +2,26 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
+
+	"github.com/sassafrasspur/sassafrasspur/ident"
 )
 
+// maxShedPriority is the lowest priority with a label of its own.
+const maxShedPriority = 9
+
+// CountShed counts a request that was refused for load, by its priority and the reason,
+// and by its account. Only the first accounts have labels of their own.
+func (m *Meter) CountShed(priority int, reason string, account ident.AccountID) {
+	m.mu.Lock()
+	label := m.shedAccounts.label(string(account))
+	m.mu.Unlock()
+	class := strconv.Itoa(min(max(priority, 0), maxShedPriority))
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_shed_total{priority="%s",reason="%s"}`, class, reason)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_shed_by_account_total{account="%s"}`, label)).Inc()
+}
+
 // ObserveExchange records an exchange that ended, by the class of its request and
 // its outcome. The duration is measured from arrival to end. If firstEvent is not
 // positive, there was no event and it is not observed.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -15,6 +15,7 @@
 const (
 	defaultMaxTeams   = 32
 	defaultMaxClasses = 8
+	maxShedAccounts   = 32
 	// maxOutcomes leaves room for all kinds of package failure, of which there
 	// are 20.
 	maxOutcomes = 40
@@ -40,7 +41,9 @@
 	teams      labelLimiter
 	classes    labelLimiter
 	outcomes   labelLimiter
-	series     map[seriesKey]*series
+	// shedAccounts has the accounts of requests that were refused for load.
+	shedAccounts labelLimiter
+	series       map[seriesKey]*series
 
 	crossedAnswers *metrics.Counter
 	controlLoop    *metrics.PrometheusHistogram
@@ -72,6 +75,7 @@
 		option(m)
 	}
 	m.teams, m.classes, m.outcomes = newLabelLimiter(m.maxTeams), newLabelLimiter(m.maxClasses), newLabelLimiter(maxOutcomes)
+	m.shedAccounts = newLabelLimiter(maxShedAccounts)
 	m.crossedAnswers = m.set.NewCounter("sassafrasspur_crossed_answers_total")
 	m.controlLoop = m.set.NewPrometheusHistogramExt("sassafrasspur_control_loop_seconds", controlLoopBuckets)
 	return m
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -144,6 +144,8 @@
 	UpstreamLimit unit.Rate
 	// ListAge is the age of the list that the last upstream was chosen from.
 	ListAge time.Duration
+	// Shed is nil unless the request was refused for load.
+	Shed *Shed
 }
 
 // Responder sends the answer of an exchange to the caller. Its methods return an error
