loadshedder, poolmonitor: start shedding only on steady evidence

A VM with a share of two slots has three calls in flight by chance, and one slow call could start shedding there. The occupancy needed at the start now grows with the scatter of a small share, one call counts at most two targets, and evidence fades during a pause. A route all of whose requests were refused as too late kept its last delay; after 2 s it takes the lower one of the pool.

--- a/internal/loadshedder/level.go
+++ b/internal/loadshedder/level.go
@@ -1,6 +1,7 @@
 package loadshedder
 
 import (
+	"math"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
@@ -59,7 +60,7 @@
 	case !hasEvidence(load, load.AsOf) || load.Slots <= 0:
 		return 0
 	case level == 0:
-		if load.Occupancy < fullOccupancy || load.RelativeDelay < startDelay && load.RefusedShare < startRefusals {
+		if float64(load.Occupancy) < startOccupancy(load.Slots) || load.RelativeDelay < startDelay && load.RefusedShare < startRefusals {
 			return 0
 		}
 		return change(0, rise, elapsed)
@@ -75,6 +76,13 @@
 	return change(level, rise*float64(min(max(load.Occupancy, 1), maxUrgency)), elapsed)
 }
 
+// startOccupancy returns the occupancy at which shedding may start. The calls of one VM
+// vary by about the square root of their number: with a share of 2 slots, 3 calls in
+// flight do not show that upstreams are full.
+func startOccupancy(slots float64) float64 {
+	return float64(fullOccupancy) + 1/math.Sqrt(max(slots, 1))
+}
+
 // expectedOccupancy returns the occupancy after the outlook, and whether it decreases.
 func expectedOccupancy(previous, load snapshot.PoolLoad, elapsed time.Duration) (unit.Ratio, bool) {
 	if elapsed <= 0 || load.Occupancy >= drainingRatio*previous.Occupancy {
--- a/internal/poolmonitor/pool.go
+++ b/internal/poolmonitor/pool.go
@@ -25,8 +25,9 @@
 	// idleOccupancy is the occupancy up to which calls do not wait for a slot. Above
 	// it, nothing is learned about the idle pool.
 	idleOccupancy unit.Ratio = 0.5
-	// maxRelativeDelay bounds the contribution of one call, in targets.
-	maxRelativeDelay = 4
+	// maxRelativeDelay bounds the contribution of one call, in targets. With the
+	// smoothing factor, it takes three slow calls in a row to start shedding.
+	maxRelativeDelay = 2
 	// defaultTarget is the target of a route that states none.
 	defaultTarget = time.Second
 	// silenceTolerance is the difference of two clock readings up to which an
@@ -42,6 +43,7 @@
 	occupancy     unit.Ratio
 	occupiedAt    time.Time
 	relativeDelay float64
+	delay         time.Duration
 	refusedShare  float64
 	evidenceAt    time.Time
 	calls, tokens rate
@@ -53,6 +55,8 @@
 type route struct {
 	snapshot.RouteLoad
 	usedAt time.Time
+	// delayedAt is the time of the newest call that contributed to the delay.
+	delayedAt time.Time
 }
 
 // rate is the rate of events, smoothed over rateWindow, as of a time.
@@ -106,14 +110,14 @@
 	case message.UpstreamAnswered:
 		p.calls.add(now, 1)
 		p.tokens.add(now, float64(c.work))
-		p.refusedShare = ewma(p.refusedShare, 0, p.weight(now))
+		p.refusedShare = ewma(p.refusedShare, 0, smoothingFactor)
 		if c.output > 0 {
 			r.PerToken = ewma(r.PerToken, (took-result.FirstByte)/time.Duration(c.output), smoothingFactor)
 		}
 		p.addFirstEvent(now, c, r, result.FirstByte)
 	case message.UpstreamRefused:
-		p.refusedShare = ewma(p.refusedShare, 1, p.weight(now))
-		p.evidenceAt = now
+		p.fadeEvidence(now)
+		p.refusedShare = ewma(p.refusedShare, 1, smoothingFactor)
 	case message.UpstreamAbandoned:
 		// A call that was abandoned before its first event has waited at least this
 		// long; a call that is abandoned early says nothing.
@@ -142,15 +146,21 @@
 	if r.FirstEvent == 0 {
 		delay = max(first-target, 0)
 	}
-	r.Delay = ewma(r.Delay, delay, smoothingFactor)
+	r.Delay, r.delayedAt = ewma(r.Delay, delay, smoothingFactor), now
+	p.fadeEvidence(now)
+	p.delay = ewma(p.delay, delay, smoothingFactor)
 	relative := min(max(float64(delay)/float64(target), -maxRelativeDelay), maxRelativeDelay)
-	p.relativeDelay = ewma(p.relativeDelay, relative, p.weight(now))
-	p.evidenceAt = now
+	p.relativeDelay = ewma(p.relativeDelay, relative, smoothingFactor)
 }
 
-// weight returns the weight of new evidence. After a pause, earlier evidence counts less.
-func (p *pool) weight(now time.Time) float64 {
-	return max(smoothingFactor, 1-decay(now.Sub(p.evidenceAt), evidenceWindow))
+// fadeEvidence lowers the weight of earlier evidence after a pause. It fades towards no
+// shortage, so that one call after a pause is not evidence enough.
+func (p *pool) fadeEvidence(now time.Time) {
+	keep := decay(now.Sub(p.evidenceAt), evidenceWindow)
+	p.relativeDelay *= keep
+	p.refusedShare *= keep
+	p.delay = time.Duration(keep * float64(p.delay))
+	p.evidenceAt = now
 }
 
 // measure returns the load for a share of the pool's slots.
@@ -163,7 +173,12 @@
 		Level: 0, Routes: make(map[ident.RouteID]snapshot.RouteLoad, len(p.routes)),
 	}
 	for id, r := range p.routes {
-		load.Routes[id] = snapshot.RouteLoad{Delay: max(r.Delay, 0), FirstEvent: r.FirstEvent, PerToken: r.PerToken}
+		delay := r.Delay
+		if now.Sub(r.delayedAt) > evidenceWindow {
+			// All requests of the route may have been refused meanwhile.
+			delay = min(delay, p.delay)
+		}
+		load.Routes[id] = snapshot.RouteLoad{Delay: max(delay, 0), FirstEvent: r.FirstEvent, PerToken: r.PerToken}
 	}
 	return load
 }
--- a/internal/poolmonitor/poolmonitor.go
+++ b/internal/poolmonitor/poolmonitor.go
@@ -132,7 +132,7 @@
 	}
 	for id, p := range m.pools {
 		maps.DeleteFunc(p.routes, func(_ ident.RouteID, r *route) bool { return now.Sub(r.usedAt) > routeRetention })
-		if len(p.routes) == 0 && p.inFlight == 0 && p.totalSlots == 0 {
+		if len(p.routes) == 0 && p.inFlight == 0 && p.totalSlots == 0 && p.load.Level == 0 {
 			delete(m.pools, id)
 		}
 	}
