programtracker: let programs that are nearly done go first

When requests of programs under way have to be refused, one that has used most of its time has most to lose. The age of such a request, which raises its rank, now grows with the part of the usual time that has passed, up to 0.5; in the golden table a turn with 3 s left of 16.6 s has 0.41 instead of 0.

--- a/internal/programtracker/programtracker.go
+++ b/internal/programtracker/programtracker.go
@@ -33,6 +33,9 @@
 	// counts as one of a program under way. Callers repeat a refused request after a
 	// third of their time left at most.
 	underWayShare unit.Ratio = 0.75
+	// maxProgressAge is the age of a program under way whose objective has come. Below
+	// 1, it leaves a part to the priority.
+	maxProgressAge unit.Ratio = 0.5
 	// raiseFactor and lowerFactor are the weights of a first turn with more and with
 	// less time left than usual. The first turns of sub-agents have less, so that the
 	// estimate follows the longer times.
@@ -59,7 +62,9 @@
 type Standing struct {
 	// UnderWay is true if the program has begun.
 	UnderWay bool
-	// Age is the part of the wait after which a new program counts as under way.
+	// Age is the part of the wait after which a new program counts as under way. For a
+	// program under way it grows with the part of its time that has passed: programs
+	// that are nearly done go first.
 	Age unit.Ratio
 	// TimeLeft is the time after which the program is of no use: the time left until
 	// its objective and, since it is of some use until twice the objective, the usual
@@ -89,11 +94,12 @@
 		return standing
 	}
 	standing.TimeLeft = r.Program.TimeLeft + usual
-	if isFirst {
-		left := unit.Ratio(r.Program.TimeLeft) / unit.Ratio(usual)
-		standing.UnderWay = left < underWayShare
-		standing.Age = min(max((1-left)/(1-underWayShare), 0), 1)
+	passed := min(max(1-unit.Ratio(r.Program.TimeLeft)/unit.Ratio(usual), 0), 1)
+	if isFirst && passed <= 1-underWayShare {
+		standing.UnderWay, standing.Age = false, passed/(1-underWayShare)
+		return standing
 	}
+	standing.UnderWay, standing.Age = true, maxProgressAge*passed
 	return standing
 }
 
