entrylogger: log when a pool becomes short of capacity

Operators saw refusals of single requests but not when shedding began and ended. There is now one line for each, with the load that began it.

--- a/internal/entrylogger/entrylogger.go
+++ b/internal/entrylogger/entrylogger.go
@@ -151,6 +151,7 @@
 			e.log.Warn().Str("fingerprint", string(f)).Int("upstreams", suspect.Crashes).Msg("request quarantined")
 		}
 	}
+	e.logShortages(before.Entry.PoolLoads, after.Entry.PoolLoads)
 	old, current := before.Entry.Members, after.Entry.Members
 	if len(old) == len(current) {
 		return
@@ -161,3 +162,21 @@
 	}
 	e.log.Info().Strs("members", names).Time("as_of", after.Entry.MembersAsOf).Msg("serving entry VMs changed")
 }
+
+// logShortages logs the pools in which shedding began or ended.
+func (e *Entrylogger) logShortages(before, after map[ident.PoolID]snapshot.PoolLoad) {
+	for id, load := range after {
+		if _, known := before[id]; !known {
+			e.log.Warn().Str("pool", string(id)).Int("in_flight", load.InFlight).Float64("slots", load.Slots).
+				Float64("occupancy", float64(load.Occupancy)).Float64("delay_targets", float64(load.RelativeDelay)).
+				Float64("refused_share", float64(load.RefusedShare)).Float64("calls_per_s", float64(load.CallsPerSecond)).
+				Float64("tokens_per_s", load.TokensPerSecond).Dur("upstreams_age_ms", load.AsOf.Sub(load.UpstreamsAsOf)).
+				Dur("members_age_ms", load.AsOf.Sub(load.MembersAsOf)).Msg("pool short of capacity")
+		}
+	}
+	for id := range before {
+		if _, short := after[id]; !short {
+			e.log.Info().Str("pool", string(id)).Msg("pool has capacity again")
+		}
+	}
+}
