--- a/chain.go
+++ b/chain.go
@@ -4,6 +4,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/chain"
 	"github.com/sassafrasspur/sassafrasspur/internal/enginecaller"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/accountresolver"
+	"github.com/sassafrasspur/sassafrasspur/internal/filter/admissioncontroller"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/admitter"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/authenticator"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/callreporter"
@@ -61,6 +62,7 @@
 		routematcher.New(n.control.Snapshot, n.timers, subscriber.MaxAge(n.settings.Ingress.RoutesLimit)),
 		accountresolver.New(keys),
 		drainer.New(n.control.Snapshot, max(0, n.finishBy()-typicalRequestTime), n.finishBy()),
+		admissioncontroller.New(n.control.Snapshot, n.meter, n.timers),
 		quotaenforcer.New(n.ingressAPI.quotaTaker, n.log.Zerolog(), n.meter),
 		turnrecorder.New(n.settings.Domain,
 			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers,
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -16,7 +16,8 @@
 	defaultMaxTeams   = 32
 	defaultMaxClasses = 8
 	// maxPools bounds the number of pools with labels of their own. Each has 7 series.
-	maxPools = 16
+	maxPools        = 16
+	maxShedAccounts = 32
 	// maxOutcomes leaves room for all kinds of package failure, of which there
 	// are 23.
 	maxOutcomes = 40
@@ -46,6 +47,8 @@
 	pools      labelLimiter
 	series     map[seriesKey]*series
 	quotas     quotaCounters
+	// shedAccounts has the accounts of requests that were refused for load.
+	shedAccounts labelLimiter
 
 	crossedAnswers *metrics.Counter
 	controlLoop    *metrics.PrometheusHistogram
@@ -79,6 +82,7 @@
 	m.teams, m.classes, m.outcomes = newLabelLimiter(m.maxTeams), newLabelLimiter(m.maxClasses), newLabelLimiter(maxOutcomes)
 	m.accounts = newAccountLabeler()
 	m.pools = newLabelLimiter(maxPools)
+	m.shedAccounts = newLabelLimiter(maxShedAccounts)
 	m.crossedAnswers = m.set.NewCounter("sassafrasspur_crossed_answers_total")
 	m.controlLoop = m.set.NewPrometheusHistogramExt("sassafrasspur_control_loop_seconds", controlLoopBuckets)
 	return m
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -166,6 +166,8 @@
 	ListAge time.Duration
 	// ConfigurationAge is the age of the configuration by which the key was last checked.
 	ConfigurationAge time.Duration
+	// Shed is nil unless the request was refused for load.
+	Shed *Shed
 }
 
 // Responder sends the answer of an exchange to the caller. Its methods return an error
