configchecker: describe a rate without a burst as the quotas treat it

The finding said that one program does not get through, but the buckets of a quota are enlarged by up to eight requests (docs/design/quotas.md). It now names that allowance. The golden files are updated, and the tests of platform pass.

--- a/internal/configchecker/checker.go
+++ b/internal/configchecker/checker.go
@@ -141,7 +141,7 @@
 		f.checkKeys(d, i, holders)
 		if q := entry.Account.Quota; q.Limited() && q.Burst == 0 && q.Rate < 1 {
 			f.add(Warning, AccountPlace{i, Rate}, "set a burst of at least 1",
-				"a rate of %v requests a second without a burst does not suffice for one program at once", q.Rate)
+				"a rate of %v requests a second without a burst is below what one program needs, and only the allowance of the entry VMs lets it begin", q.Rate)
 		}
 	}
 }
