ledger: refuse turns that follow themselves

Callers choose the ids of turns, so the rows of two programs can name each other as the previous turn. Both the cache and the store reader followed such a circle without end and collected texts until the memory of the VM was exhausted, with no regard to the deadline.

The reader now refuses the request with status 400, not run, once it meets a turn again, and the cache leaves such a turn to the reader.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -78,7 +78,8 @@
 // History returns the text of the turns that a turn continues, the oldest first.
 // While the store is unreachable, History waits for it even if the turns are
 // cached: a turn that can't be stored would have its response cut off. Errors are
-// refusals, of kind not_found if a turn does not exist.
+// refusals, of kind not_found if a turn does not exist, and of kind invalid_request if it
+// follows itself.
 func (l *Ledger) History(ctx context.Context, t Turn) ([]byte, error) {
 	if !l.unreachable.Load() {
 		if t.Previous == "" {
@@ -104,13 +105,15 @@
 	}
 }
 
-// tryHistory follows the turns before a turn to the first one.
+// tryHistory follows the turns before a turn to the first one. Callers choose the IDs of
+// turns, so that turns of different programs may follow each other in a circle.
 func (l *Ledger) tryHistory(ctx context.Context, t Turn) ([]byte, error) {
 	program, err := l.read(ctx, t.Program)
 	if err != nil {
 		return nil, err
 	}
 	var texts [][]byte
+	followed := map[rows.ID]bool{}
 	for previous := t.Previous; previous != ""; {
 		turn, ok := program.turns[previous]
 		if !ok {
@@ -122,6 +125,11 @@
 		if !t.mayContinue(turn.Account) {
 			return nil, notFound(t.Previous)
 		}
+		id := turnID(program.program, previous)
+		if followed[id] {
+			return nil, failure.Refusal(failure.InvalidRequest, 0, "turn %s follows itself; start a new session with other ids", previous)
+		}
+		followed[id] = true
 		text, err := program.text(previous)
 		if err != nil {
 			return nil, err
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -101,6 +101,29 @@
 	g.Expect(failure.Is(err, failure.PlatformUnavailable)).To(BeTrue())
 }
 
+// Guards against a VM that follows previous turns without end, and collects their texts
+// until its memory is exhausted. Callers choose the IDs of turns, so that rows of two
+// programs may name each other.
+func TestTurnsThatFollowThemselves(t *testing.T) {
+	g := NewWithT(t)
+	store := rowstore.New()
+	ctx := context.Background()
+	writer := ledger.New(store, timer.New())
+	for _, turn := range []ledger.Turn{
+		{Program: "a", Turn: "1"}, {Program: "a", Turn: "2", Previous: "1"}, {Program: "b", Turn: "1", Previous: "2"}, {Program: "b", Turn: "2", Previous: "1"},
+	} {
+		g.Expect(writer.Store(ctx, turn, []byte("text"), nil)).To(Succeed())
+	}
+	for name, l := range map[string]*ledger.Ledger{"cache": writer, "store": ledger.New(store, timer.New())} {
+		_, err := l.History(ctx, ledger.Turn{Program: "b", Turn: "3", Previous: "2"})
+		g.Expect(failure.Is(err, failure.InvalidRequest)).To(BeTrue(), "%s: %v", name, err)
+		g.Expect(failure.From(err).NotRun).To(BeTrue(), name)
+		history, err := l.History(ctx, ledger.Turn{Program: "a", Turn: "3", Previous: "2"})
+		g.Expect(err).NotTo(HaveOccurred(), name)
+		g.Expect(string(history)).To(Equal("texttext"), name)
+	}
+}
+
 // Guards against replacing a turn by another one with the same ID.
 func TestSecondWriter(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/ledger/recent.go
+++ b/internal/ledger/recent.go
@@ -50,12 +50,13 @@
 }
 
 // history returns the text of all turns before a turn, false if one of them is not
-// cached, is too old, or must not be continued by the turn.
+// cached, is too old, or must not be continued by the turn. More turns than the cache holds
+// follow each other in a circle.
 func (c turnCache) history(t Turn) ([]byte, bool) {
 	var texts [][]byte
 	for previous := t.Previous; previous != ""; {
 		turn, ok := c.turns.Get(previous)
-		if !ok || c.timers.Now().Sub(turn.at) > maxCachedTurnAge || !t.mayContinue(turn.account) {
+		if !ok || c.timers.Now().Sub(turn.at) > maxCachedTurnAge || !t.mayContinue(turn.account) || len(texts) > maxCachedTurns {
 			return nil, false
 		}
 		texts = append(texts, turn.text)
