forwarder: give the callers of a test generators of their own

The poison test drew the VM of a repeated request from the generator that another goroutine uses for the pauses between requests. go test -race reported this data race in TestPoisonousRequest. Each repeated request now has a generator that is seeded by its VM and number; the test passed three times with -race.

--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -193,7 +193,8 @@
 					err := send(i, body)
 					if err != nil {
 						time.Sleep(poisonPause)
-						err = send(random.IntN(len(chains)), body)
+						retry := rand.New(rand.NewPCG(uint64(i), uint64(n)))
+						err = send(retry.IntN(len(chains)), body)
 					}
 					mu.Lock()
 					defer mu.Unlock()
