placementkeeper: forget the engines of programs with long ids

Callers choose the ids of programs. The number of entries was bounded, not their size: with ids of 16 KB, the limit of a header section, two full generations hold 268 MB by calculation, more than the memory of a small VM. The added lines of the golden file failed before.

--- a/internal/placementkeeper/placementkeeper.go
+++ b/internal/placementkeeper/placementkeeper.go
@@ -18,6 +18,10 @@
 	// the 6 VMs that may grant turns of one program if there are only 36 VMs. Two full
 	// generations take 4 MB.
 	maxRecent = 8192
+	// maxIDBytes is the length of the ids of programs and engines up to which an engine is
+	// remembered. A UUID has 36 bytes. Callers choose the ids of programs; with ones as long
+	// as a header may be, 16 KB, two full generations would take 268 MB.
+	maxIDBytes = 128
 )
 
 // Placementkeeper remembers the engines of programs. It is safe for concurrent use.
@@ -60,9 +64,9 @@
 }
 
 // Keep remembers the engine that served a turn of a program. A turn that no engine served
-// changes nothing.
+// changes nothing, nor does one of a program with a long id.
 func (k *Placementkeeper) Keep(program ident.ProgramID, engine upstream.Process) {
-	if engine.IsZero() {
+	if engine.IsZero() || len(program) > maxIDBytes || len(engine.ID) > maxIDBytes {
 		return
 	}
 	k.mu.Lock()
--- a/internal/placementkeeper/placementkeeper_test.go
+++ b/internal/placementkeeper/placementkeeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 
 // TestPlacementkeeper guards against a program that is forgotten while it runs or because
 // a turn failed, against entries that are never dropped, and against memory that grows
-// with the number of programs.
+// with the number of programs or the length of their ids.
 func TestPlacementkeeper(t *testing.T) {
 	clock := timer.NewManual(time.Unix(0, 0))
 	keeper := placementkeeper.New(timer.New(timer.WithManual(clock)))
@@ -25,7 +26,7 @@
 		clock.Advance(f.Duration("after"))
 		switch {
 		case f.Has("keep"):
-			keeper.Keep(ident.ProgramID(f["keep"]), upstream.Process{ID: ident.UpstreamID(f["engine"]), Incarnation: ident.Incarnation(f.Int("start"))})
+			keeper.Keep(ident.ProgramID(f["keep"]+strings.Repeat("x", f.Int("longer"))), upstream.Process{ID: ident.UpstreamID(f["engine"]), Incarnation: ident.Incarnation(f.Int("start"))})
 		case f.Has("programs"):
 			for i := range f.Int("programs") {
 				keeper.Keep(ident.ProgramID(fmt.Sprint("many-", i)), upstream.Process{ID: "e9"})
