ledger: report no missing turn from an old state of the store

The store may answer reads from a state that is up to 3 s old. A turn that another VM had stored in that time was missing there, and its continuation was answered 404, which callers do not retry.

A look-up now counts only if its version is not below the highest one that this VM had seen before, as for the proofs of the routes; until then the request waits and is refused with 503. A VM that has confirmed no write knows no version and reports no turn as missing. The new test fails without either condition.

--- a/chain.go
+++ b/chain.go
@@ -65,7 +65,7 @@
 		admissioncontroller.New(n.control.Snapshot, n.meter, n.timers),
 		quotaenforcer.New(n.ingressAPI.quotaTaker, n.log.Zerolog(), n.meter),
 		turnrecorder.New(n.settings.Domain,
-			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers), n.timers,
+			granter.New(n.settings.VM, n.budgets, n.peers, n.timers, members), ledger.New(n.store, n.timers, ledger.WithKnownVersion(n.versions.Known)), n.timers,
 			turnrecorder.WithConfirm(keys.Confirm)),
 		memoryclaimer.New(),
 		// A request is recognized by its whole body, which the turnrecorder composes.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,9 @@
 	unreachable  atomic.Bool
 	readTimeout  time.Duration
 	storeTimeout time.Duration
+	// knownVersion returns the lowest version of a recent state of the store, 0 if unknown.
+	// It is nil if the store never answers from an old state.
+	knownVersion func() rows.Version
 }
 
 // Option configures a Ledger.
@@ -66,6 +69,13 @@
 	return func(l *Ledger) { l.readTimeout, l.storeTimeout = read, store }
 }
 
+// WithKnownVersion sets the source of the highest version that this VM has seen in an
+// answer of the store. The store may answer from a state that is some seconds old and lacks
+// the newest turns. Such an answer has a lower version.
+func WithKnownVersion(known func() rows.Version) Option {
+	return func(l *Ledger) { l.knownVersion = known }
+}
+
 // New returns a ledger on a store.
 func New(store rows.Store, timers *timer.Service, options ...Option) *Ledger {
 	l := &Ledger{store: store, timers: timers, cache: newTurnCache(timers), readTimeout: defaultReadTimeout, storeTimeout: defaultStoreTimeout}
@@ -176,8 +186,15 @@
 }
 
 // lookUpProgram returns the program of a turn. It reports not_found only after it
-// has read all parts that may have the row.
+// has read all parts that may have the row, from a state of the store that is not known to
+// be old.
 func (l *Ledger) lookUpProgram(ctx context.Context, t ident.RequestID) (ident.ProgramID, error) {
+	var known rows.Version
+	if l.knownVersion != nil {
+		if known = l.knownVersion(); known == 0 {
+			return "", errors.New("no version of the store is known, so that an answer may come from an old state")
+		}
+	}
 	var readErr error
 	for part := range indexParts {
 		id := indexID(t, part)
@@ -189,6 +206,9 @@
 		if row, ok := rows.Find(page.Rows, id); ok {
 			return ident.ProgramID(row.Value), nil
 		}
+		if page.Version < known {
+			readErr = errors.Errorf("the store answered from an old state, of version %d instead of %d", page.Version, known)
+		}
 	}
 	if readErr != nil {
 		return "", readErr
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -16,6 +16,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowstore"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/internal/versionobserver"
 )
 
 var _ rows.Store = (*rowstore.Rowstore)(nil)
@@ -101,6 +102,41 @@
 	g.Expect(failure.Is(err, failure.PlatformUnavailable)).To(BeTrue())
 }
 
+// oldStore answers reads from an old, empty state while isOld is true.
+type oldStore struct {
+	rows.Store
+	isOld bool
+}
+
+func (s *oldStore) Read(ctx context.Context, r rows.Range) (rows.Page, error) {
+	page, err := s.Store.Read(ctx, r)
+	if s.isOld {
+		page.Rows, page.Version = nil, page.Version-1
+	}
+	return page, err
+}
+
+// Guards against a not_found error for a turn that another VM has stored, because the store
+// answers from an older state, or because the VM can't tell whether it does.
+func TestTurnMissingInOldState(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	store, versions := &oldStore{Store: rowstore.New()}, versionobserver.New()
+	g.Expect(ledger.New(store, timer.New()).Store(ctx, ledger.Turn{Program: "a", Turn: "1"}, []byte("text"), nil)).To(Succeed())
+	l := ledger.New(versions.Observed(store), timer.New(), ledger.WithTimeouts(100*time.Millisecond, 100*time.Millisecond), ledger.WithKnownVersion(versions.Known))
+	read := func(previous ident.RequestID) error {
+		_, err := l.History(ctx, ledger.Turn{Program: "b", Turn: "3", Previous: previous})
+		return err
+	}
+	g.Expect(read("2")).To(MatchError(failure.PlatformUnavailable), "the VM has written nothing")
+	g.Expect(l.Store(ctx, ledger.Turn{Program: "b", Turn: "0"}, nil, nil)).To(Succeed())
+	g.Expect(read("2")).To(MatchError(failure.NotFound))
+	store.isOld = true
+	g.Expect(read("1")).To(MatchError(failure.PlatformUnavailable))
+	store.isOld = false
+	g.Expect(read("1")).To(Succeed())
+}
+
 // Guards against a VM that follows previous turns without end, and collects their texts
 // until its memory is exhausted. Callers choose the IDs of turns, so that rows of two
 // programs may name each other.
