poolestimator: limit the weight of prompts of absurd sizes

Callers state the sizes of their prompts. One call that stated 10^12 tokens moved the prefill rate of a pool from 74 to 221 tokens/ms, where it stayed for the next 400 calls of engines that process 20.

An observation is now at most four standard deviations above the mean prompt; a longer prompt is moved along the expected line.

--- a/internal/poolestimator/line.go
+++ b/internal/poolestimator/line.go
@@ -1,5 +1,11 @@
 package poolestimator
 
+import "math"
+
+// maxDeviation is the largest distance of an observation from the mean in standard
+// deviations. The weight of an observation in the slope grows with the square of it.
+const maxDeviation = 4
+
 // line is a regression line over recent observations, whose weights decay
 // exponentially. The prior slope stands for priorWeight observations at a distance of
 // spread from their mean.
@@ -13,6 +19,15 @@
 	xx, xy float64
 }
 
+// furthest returns the largest x that may be observed.
+func (l *line) furthest() float64 {
+	deviation := l.spread
+	if l.weight > 0 {
+		deviation = max(deviation, math.Sqrt(l.xx/l.weight))
+	}
+	return l.x + maxDeviation*deviation
+}
+
 // observe adds a point.
 func (l *line) observe(x, y float64) {
 	l.weight, l.xx, l.xy = l.weight*l.decay, l.xx*l.decay, l.xy*l.decay
--- a/internal/poolestimator/poolestimator.go
+++ b/internal/poolestimator/poolestimator.go
@@ -66,13 +66,15 @@
 func (e *Estimator) ObserveFirstEvent(now time.Time, uncached unit.Tokens, took time.Duration) float64 {
 	e.expire(now)
 	known := e.firstEvents.weight >= minObservations
-	expected := milliseconds(e.FirstEvent(now, uncached))
-	value := milliseconds(took)
-	relative := value / expected
+	relative := milliseconds(took) / milliseconds(e.FirstEvent(now, uncached))
+	factor := relative
 	if known {
-		value = min(max(value, expected/maxFactor), expected*maxFactor)
+		factor = min(max(factor, 1/maxFactor), maxFactor)
 	}
-	e.firstEvents.observe(float64(uncached), value)
+	// A much longer prompt than usual is observed as a shorter one that took as long
+	// relative to the expected time. Callers state the sizes of their prompts.
+	uncached = min(uncached, unit.Tokens(e.firstEvents.furthest()))
+	e.firstEvents.observe(float64(uncached), factor*milliseconds(e.FirstEvent(now, uncached)))
 	if !known {
 		return 1
 	}
--- a/internal/poolestimator/poolestimator_test.go
+++ b/internal/poolestimator/poolestimator_test.go
@@ -29,6 +29,10 @@
 			}
 			uncached := unit.Tokens(random.IntN(4000))
 			load := 10 + 5*float64(int(now.Unix())/10%2)
+			if f.Has("stated") {
+				e.ObserveFirstEvent(now, unit.Tokens(f.Int("stated")), f.Duration("base"))
+				continue
+			}
 			e.ObserveFirstEvent(now, uncached, f.Duration("base")+time.Duration(noise*float64(uncached)/f.Float("prefill")*1e6))
 			interval := time.Duration(float64(f.Duration("interval")) * (1 + f.Float("slope")*load) * noise)
 			e.ObserveIntervals(now, interval, load)
@@ -42,8 +46,8 @@
 }
 
 // TestPoolestimator guards against figures of one customer's engines that are used for
-// another's, against calls that hang and distort the figures, and against figures that
-// are used for long after their time.
+// another's, against calls that hang and distort the figures, against callers that state
+// absurd sizes of their prompts, and against figures that are used for long after their time.
 func TestPoolestimator(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", newPool())).To(Succeed())
 }
