ledger: count ids in the size of cached turns

Callers choose the ids of turns, up to the 16 KB of a header section. The cache bounded the texts alone, so that ids could double its 16 MB or more by calculation. Turns whose text and ids exceed 16 KB are now read from the store; the extended test failed before.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -208,6 +208,10 @@
 	store("long", "2", strings.Repeat("x", 20_000))
 	_, n = read("long")
 	g.Expect(n).To(Equal(1))
+	longID := strings.Repeat("x", 20_000)
+	store(longID, "", "x")
+	_, n = read(longID)
+	g.Expect(n).To(Equal(1))
 }
 
 // partialStore is a store with some parts unavailable.
--- a/internal/ledger/recent.go
+++ b/internal/ledger/recent.go
@@ -13,7 +13,8 @@
 
 const (
 	// maxCachedTurns and maxCachedTurnBytes limit the cache to 16 MB of the 112 MB
-	// of memory on the smallest VMs. Longer turns are read from the store.
+	// of memory on the smallest VMs. Longer turns are read from the store. Ids count,
+	// since callers choose them.
 	maxCachedTurns     = 1024
 	maxCachedTurnBytes = 16 << 10
 	// maxCachedTurnAge is a third of the retention period of rows after the last
@@ -42,9 +43,9 @@
 	return turnCache{turns: turns, timers: timers}
 }
 
-// add caches a stored turn, unless its text is too long.
+// add caches a stored turn, unless its text and ids are too long.
 func (c turnCache) add(t Turn, text []byte) {
-	if len(text) <= maxCachedTurnBytes {
+	if len(text)+len(t.Turn)+len(t.Previous)+len(t.Account) <= maxCachedTurnBytes {
 		c.turns.Add(t.Turn, cachedTurn{previous: t.Previous, account: t.Account, text: bytes.Clone(text), at: c.timers.Now()})
 	}
 }
