turnrecorder: refuse a turn without waiting for its history

A turn that the budget refused was answered only once its history had been read: after 1.35 s while the store does not answer, although refusals are to be decided at once and a budget is often known in memory. The read of the history is now cancelled.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -107,6 +107,10 @@
 		historyRead <- nil
 	}
 	grant, err := t.reserve(ctx, x)
+	if err != nil {
+		// The turn is refused in any case.
+		cancel()
+	}
 	historyErr := <-historyRead
 	if err != nil {
 		return granter.Grant{}, nil, err
--- a/internal/filter/turnrecorder/turnrecorder_test.go
+++ b/internal/filter/turnrecorder/turnrecorder_test.go
@@ -8,10 +8,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/clientaccount"
+	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/filter/turnrecorder"
+	"github.com/sassafrasspur/sassafrasspur/internal/granter"
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
+	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/internal/snapshot"
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowstore"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
@@ -39,3 +43,31 @@
 	g.Expect(serve(&clientaccount.Account{ID: "b"}, stale)).To(MatchError(failure.ConfigurationStale))
 	g.Expect(serve(nil, nil)).To(MatchError(failure.NotFound))
 }
+
+// hangingStore answers no read until the read is given up, and keeps the reason.
+type hangingStore struct {
+	rows.Store
+	reason error
+}
+
+func (s *hangingStore) Read(ctx context.Context, _ rows.Range) (rows.Page, error) {
+	<-ctx.Done()
+	s.reason = ctx.Err()
+	return rows.Page{}, ctx.Err()
+}
+
+// TestRefusedTurnDoesNotWait guards against a turn beyond its budget that is refused only
+// once its history has been read, while the store does not answer.
+func TestRefusedTurnDoesNotWait(t *testing.T) {
+	g := NewWithT(t)
+	timers, store := timer.New(), &hangingStore{}
+	budgets := escrow.New(t.Context(), rowstore.New(), timers)
+	filter := turnrecorder.New("domain", granter.New("self", budgets, nil, timers, func() []snapshot.Member { return nil }), ledger.New(store, timers), timers)
+	err := filter.Serve(t.Context(), &traffic.Exchange{
+		Request: traffic.Request{ID: "two", Prompt: &traffic.Prompt{Output: 11}, Program: &traffic.Program{ID: "p", Budget: 10, Previous: "one"}},
+		Route:   &routing.Route{Kind: routing.Stream{Retained: true}}, Table: routing.New(1, nil, nil, routing.Limits{}),
+		Arrived: timers.Now(), Deadline: timers.Now().Add(time.Minute),
+	}, nil)
+	g.Expect(err).To(MatchError(failure.BudgetExhausted))
+	g.Expect(store.reason).To(Or(BeNil(), MatchError(context.Canceled)))
+}
