--- a/internal/filter/turnrecorder/turnrecorder_test.go
+++ b/internal/filter/turnrecorder/turnrecorder_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/clientaccount"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
@@ -71,3 +72,21 @@
 	g.Expect(err).To(MatchError(failure.BudgetExhausted))
 	g.Expect(store.reason).To(Or(BeNil(), MatchError(context.Canceled)))
 }
+
+// TestRefusedTurnReturnsGrant guards against a budget that a turn without a history keeps
+// reserved, so that the next turn is refused for good.
+func TestRefusedTurnReturnsGrant(t *testing.T) {
+	g := NewWithT(t)
+	timers, store := timer.New(), rowstore.New()
+	budgets := granter.New("self", escrow.New(t.Context(), store, timers), nil, timers, func() []snapshot.Member { return nil })
+	filter := turnrecorder.New("domain", budgets, ledger.New(store, timers), timers)
+	serve := func(previous ident.RequestID) error {
+		return filter.Serve(t.Context(), &traffic.Exchange{
+			Request: traffic.Request{ID: "two", Prompt: &traffic.Prompt{Output: 10}, Program: &traffic.Program{ID: "p", Budget: 10, Previous: previous}},
+			Route:   &routing.Route{Kind: routing.Stream{Retained: true}}, Table: routing.New(1, nil, nil, routing.Limits{}),
+			Arrived: timers.Now(), Deadline: timers.Now().Add(time.Minute),
+		}, func(context.Context, *traffic.Exchange) error { return nil })
+	}
+	g.Expect(serve("missing")).To(MatchError(failure.NotFound))
+	g.Expect(serve("")).To(Succeed())
+}
