escrow: refuse no turn because a larger one is beyond the budget

Turns of a program share one transaction that grows their reservation. If it failed since the budget could not cover the turn that began it, all turns that waited got its 402, which ends a program, also those that the rest of the budget covers.

A turn that is smaller than that one now asks again. Turns of the same size are refused together as before, so that a program in a loop causes no more transactions. The new test failed before and passes now, with -race.

--- a/internal/escrow/escrow.go
+++ b/internal/escrow/escrow.go
@@ -91,8 +91,16 @@
 	reservation reservation
 	// balance is the budget as known when the fetch began.
 	balance balance
-	done    chan struct{}
-	err     error
+	// maxTokens is the size of the turn that began the fetch.
+	maxTokens unit.Tokens
+	done      chan struct{}
+	err       error
+}
+
+// refuses reports whether the error of the fetch is also that of a turn that waited for it.
+// A smaller turn may still be covered by a budget that is exhausted for a larger one.
+func (f *fetch) refuses(r Request) bool {
+	return f.err != nil && (r.MaxTokens >= f.maxTokens || !failure.Is(f.err, failure.BudgetExhausted))
 }
 
 // exhaustion records that a budget was found exhausted.
@@ -192,7 +200,7 @@
 		case <-ctx.Done():
 			return Grant{}, unavailable(ctx.Err())
 		}
-		if wait.fetch.err != nil {
+		if wait.fetch.refuses(r) {
 			return Grant{}, wait.fetch.err
 		}
 	}
@@ -230,7 +238,7 @@
 		return Grant{}, nil, refused
 	}
 	started := &fetch{
-		done: make(chan struct{}), reservation: reservation{id: uuid.NewString(), program: r.Program}, balance: e.exhausted[r.Program].balance,
+		done: make(chan struct{}), maxTokens: r.MaxTokens, reservation: reservation{id: uuid.NewString(), program: r.Program}, balance: e.exhausted[r.Program].balance,
 	}
 	if p != nil {
 		started.reservation, started.balance = *p, p.balance
