--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,9 @@
 	unreachable  atomic.Bool
 	readTimeout  time.Duration
 	storeTimeout time.Duration
+	// knownVersion returns the lowest version of a recent state of the store, 0 if unknown.
+	// It is nil if the store never answers from an old state.
+	knownVersion func() rows.Version
 }
 
 // Option configures a Ledger.
@@ -66,6 +69,13 @@
 	return func(l *Ledger) { l.readTimeout, l.storeTimeout = read, store }
 }
 
+// WithKnownVersion sets the source of the highest version that this VM has seen in an
+// answer of the store. The store may answer from a state that is some seconds old and lacks
+// the newest turns. Such an answer has a lower version.
+func WithKnownVersion(known func() rows.Version) Option {
+	return func(l *Ledger) { l.knownVersion = known }
+}
+
 // New returns a ledger on a store.
 func New(store rows.Store, timers *timer.Service, options ...Option) *Ledger {
 	l := &Ledger{store: store, timers: timers, cache: newTurnCache(timers), readTimeout: defaultReadTimeout, storeTimeout: defaultStoreTimeout}
@@ -78,7 +88,8 @@
 // History returns the text of the turns that a turn continues, the oldest first.
 // While the store is unreachable, History waits for it even if the turns are
 // cached: a turn that can't be stored would have its response cut off. Errors are
-// refusals, of kind not_found if a turn does not exist.
+// refusals, of kind not_found if a turn does not exist, and of kind invalid_request if it
+// follows itself.
 func (l *Ledger) History(ctx context.Context, t Turn) ([]byte, error) {
 	if !l.unreachable.Load() {
 		if t.Previous == "" {
@@ -104,13 +115,15 @@
 	}
 }
 
-// tryHistory follows the turns before a turn to the first one.
+// tryHistory follows the turns before a turn to the first one. Callers choose the IDs of
+// turns, so that turns of different programs may follow each other in a circle.
 func (l *Ledger) tryHistory(ctx context.Context, t Turn) ([]byte, error) {
 	program, err := l.read(ctx, t.Program)
 	if err != nil {
 		return nil, err
 	}
 	var texts [][]byte
+	followed := map[rows.ID]bool{}
 	for previous := t.Previous; previous != ""; {
 		turn, ok := program.turns[previous]
 		if !ok {
@@ -122,6 +135,11 @@
 		if !t.mayContinue(turn.Account) {
 			return nil, notFound(t.Previous)
 		}
+		id := turnID(program.program, previous)
+		if followed[id] {
+			return nil, failure.Refusal(failure.InvalidRequest, 0, "turn %s follows itself; start a new session with other ids", previous)
+		}
+		followed[id] = true
 		text, err := program.text(previous)
 		if err != nil {
 			return nil, err
@@ -168,8 +186,15 @@
 }
 
 // lookUpProgram returns the program of a turn. It reports not_found only after it
-// has read all parts that may have the row.
+// has read all parts that may have the row, from a state of the store that is not known to
+// be old.
 func (l *Ledger) lookUpProgram(ctx context.Context, t ident.RequestID) (ident.ProgramID, error) {
+	var known rows.Version
+	if l.knownVersion != nil {
+		if known = l.knownVersion(); known == 0 {
+			return "", errors.New("no version of the store is known, so that an answer may come from an old state")
+		}
+	}
 	var readErr error
 	for part := range indexParts {
 		id := indexID(t, part)
@@ -181,6 +206,9 @@
 		if row, ok := rows.Find(page.Rows, id); ok {
 			return ident.ProgramID(row.Value), nil
 		}
+		if page.Version < known {
+			readErr = errors.Errorf("the store answered from an old state, of version %d instead of %d", page.Version, known)
+		}
 	}
 	if readErr != nil {
 		return "", readErr
