quotakeeper: keep the parts of a VM that stops and starts again

Keepers were chosen among the VMs that serve callers now. Keepers are now chosen among the VMs whose row was written within a minute, so that a VM that starts again is the keeper at once, with an empty bucket. Only a VM that joins waits until the lists of others have expired. Ages count suspended time.

--- a/ingress_api.go
+++ b/ingress_api.go
@@ -69,7 +69,7 @@
 	parts := quotaassigner.Regions(s.Regions)
 	i.quotaGranter = quotagranter.New(ctx, quotakeeper.New(s.VM, len(parts), limits), n.control, n.timers, i.keys.Proved)
 	i.quotaTaker = quotataker.New(s.VM, quotataker.Order(parts, s.Region), limits.TokenLifetime(), i.quotaGranter, n.peers, n.timers,
-		func() []snapshot.Member { return n.view().Members })
+		func() []snapshot.Member { return n.view().Recent })
 }
 
 // finishBy returns the time after the shutdown request by which requests must have
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -36,6 +36,12 @@
 	rowLifetimeIntervals = 3
 	// propagationMargin is twice the time limit of a store call, 0.6 s.
 	propagationMargin = 1200 * time.Millisecond
+	// recentRetention is the age up to which the VM of a row counts as recent. A VM that is
+	// stopped and started again is away for some seconds.
+	recentRetention = time.Minute
+	// restartRetention is the age of its row up to which a VM that starts counts as
+	// restarted. The margin covers reads by others that are under way.
+	restartRetention = recentRetention - 10*time.Second
 	// removeAfter is the age after which other VMs remove a row.
 	removeAfter = 10 * time.Minute
 )
@@ -59,6 +65,8 @@
 	// written is the state in the last row that was sent, at writtenAt.
 	written   rowState
 	writtenAt time.Time
+	// restarted is true if this VM had a recent row when it first read the table.
+	restarted bool
 	// stored is the state in the row that the store confirmed, nil if there is none. The
 	// last confirmed row was sent at storedAt.
 	stored   *rowState
@@ -155,13 +163,17 @@
 	}
 	var removals rows.Transaction
 	e.version = 0
-	present := []snapshot.Member{e.self}
+	present, recent := []snapshot.Member{e.self}, []snapshot.Member{e.self}
 	for _, row := range m.Page.Rows {
+		other, age, err := decode(row, m.Page.Clock)
 		if row.ID == rowID(e.self.VM) {
 			e.version = row.Version
+			e.restarted = e.restarted || e.list == nil && err == nil && age <= restartRetention
 			continue
 		}
-		other, age, err := decode(row, m.Page.Clock)
+		if err == nil && age <= recentRetention {
+			recent = append(recent, other)
+		}
 		switch {
 		case err != nil || age > removeAfter:
 			removals.Conditions = append(removals.Conditions, rows.Condition{ID: row.ID, Version: row.Version})
@@ -171,7 +183,7 @@
 		}
 	}
 	effects = append(effects, e.write(now, m.Page.Clock, removals)...)
-	return append(effects, e.publish(now, snapshot.NewMemberList(present, m.Page.Clock, m.SentAt))...)
+	return append(effects, e.publish(now, snapshot.NewMemberList(present, m.Page.Clock, m.SentAt).WithRecent(recent))...)
 }
 
 // handleCopy updates the list from another VM's list, and writes this VM's row if
@@ -193,17 +205,23 @@
 	if m.Change.Digest == e.list.Digest && slices.Contains(e.list.Present, e.self) {
 		return append(effects, e.publish(now, e.list.At(m.Change.Clock, asOf))...)
 	}
-	present := e.list.Present
+	present, recent := e.list.Present, e.list.Recent
 	if m.Change.Digest != e.list.Digest {
-		present = m.Change.Present
+		present, recent = m.Change.Present, m.Change.Recent
 	}
+	list := snapshot.NewMemberList(e.withSelf(present), m.Change.Clock, asOf).WithRecent(e.withSelf(recent))
+	return append(effects, e.publish(now, list)...)
+}
+
+// withSelf returns the members of a list with the current state of this VM.
+func (e *Enroller) withSelf(members []snapshot.Member) []snapshot.Member {
 	all := []snapshot.Member{e.self}
-	for _, member := range present {
+	for _, member := range members {
 		if member.VM != e.self.VM {
 			all = append(all, member)
 		}
 	}
-	return append(effects, e.publish(now, snapshot.NewMemberList(all, m.Change.Clock, asOf))...)
+	return all
 }
 
 // publish sends the list to other controllers. An unchanged list is sent once per
@@ -280,5 +298,6 @@
 	}
 	if e.list != nil {
 		view.Entry.MemberList, view.Entry.MembersAsOf, view.Entry.Present = e.list, e.list.AsOf, e.list.Present
+		view.Entry.Recent, view.Entry.Restarted = e.list.Recent, e.restarted
 	}
 }
--- a/internal/quotaassigner/quotaassigner.go
+++ b/internal/quotaassigner/quotaassigner.go
@@ -1,8 +1,9 @@
 // Package quotaassigner assigns the parts of the quotas of client accounts to VMs.
 //
 // A quota has one part for each region. The keeper of a part is chosen by rendezvous
-// hashing of account and region among the serving VMs of the region, or among those of
-// all regions if the region has none. VMs with equal lists agree on all keepers.
+// hashing of account and region among the VMs of the region whose row was written
+// recently, or among those of all regions if the region has none. VMs with equal lists
+// agree on all keepers, and a VM that is stopped and started again stays the keeper.
 package quotaassigner
 
 import (
@@ -21,11 +22,11 @@
 	members  map[ident.VMID]snapshot.Member
 }
 
-// New returns the assigner of a list of the members that serve callers. A VM that has no
-// address for callers or for other VMs keeps no part.
-func New(serving []snapshot.Member) *Assigner {
+// New returns the assigner of a list of VMs. A VM that has no address for callers or for
+// other VMs keeps no part.
+func New(recent []snapshot.Member) *Assigner {
 	a := &Assigner{byRegion: map[ident.Region][]ident.VMID{}, members: map[ident.VMID]snapshot.Member{}}
-	for _, m := range serving {
+	for _, m := range recent {
 		if m.RequestAddress == "" || m.PeerAddress == "" {
 			continue
 		}
@@ -52,7 +53,9 @@
 	return a.members[keeper], ok
 }
 
-// Equal reports whether two assigners choose the same keepers.
+// Equal reports whether two assigners choose the same keepers at the same addresses.
 func (a *Assigner) Equal(b *Assigner) bool {
-	return slices.Equal(a.all, b.all) && maps.EqualFunc(a.byRegion, b.byRegion, slices.Equal[[]ident.VMID])
+	return slices.Equal(a.all, b.all) && maps.EqualFunc(a.members, b.members, func(m, n snapshot.Member) bool {
+		return m.Region == n.Region && m.PeerAddress == n.PeerAddress
+	})
 }
--- a/internal/quotagranter/quotagranter.go
+++ b/internal/quotagranter/quotagranter.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// rowAllowance is subtracted from the age of this VM's row. Other VMs consider the VM
-	// dead 4.5 s after the write of its row, so that a VM whose writes fail must stop
-	// granting then, although its own lists have it: quotakeeper.MaxListAge plus this.
-	rowAllowance = 1500 * time.Millisecond
+	// rowAllowance is subtracted from the age of this VM's row. Other VMs drop the VM from
+	// their lists a minute after the write of its row, so that a VM whose writes fail must
+	// stop granting before, although its own lists have it.
+	rowAllowance = 40 * time.Second
 	// unprovenRetry is the stated retry delay while the configuration is not proven.
 	unprovenRetry = 250 * time.Millisecond
 )
@@ -36,6 +36,7 @@
 	proven func() bool
 
 	mu     sync.Mutex
+	clock  clock
 	keeper *quotakeeper.Keeper
 }
 
@@ -43,7 +44,7 @@
 // ends. While proven reports false, the configuration may have been replaced and no token
 // is granted.
 func New(ctx context.Context, keeper *quotakeeper.Keeper, view View, timers *timer.Service, proven func() bool) *Granter {
-	g := &Granter{timers: timers, proven: proven, keeper: keeper}
+	g := &Granter{timers: timers, proven: proven, keeper: keeper, clock: newClock(timers)}
 	go func() {
 		for ctx.Err() == nil {
 			changed := view.Changed()
@@ -68,7 +69,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.keeper.UpdateList(g.timers.Now(), asOf, quotaassigner.New(e.Members))
+	now := g.clock.now()
+	g.keeper.UpdateList(now, g.clock.at(asOf), quotaassigner.New(e.Recent), e.Restarted)
 }
 
 // Take decides on a request for tokens.
@@ -78,5 +80,5 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.keeper.Take(g.timers.Now(), r)
+	return g.keeper.Take(g.clock.now(), r)
 }
--- a/internal/quotakeeper/bucket.go
+++ b/internal/quotakeeper/bucket.go
@@ -39,6 +39,8 @@
 	// VM as keeper. list is 0 if there is none.
 	since time.Time
 	list  int
+	// fullFrom is the time from which the part is granted in full.
+	fullFrom time.Time
 	// at is the time up to which the bucket has been filled.
 	at    time.Time
 	level float64
@@ -73,9 +75,13 @@
 	b.quota, b.version = q, version
 }
 
-// reset empties the bucket for a VM that lists have named as keeper since a time.
-func (b *bucket) reset(since time.Time) {
-	b.since, b.at = since, since.Add(HandoverDelay)
+// reset empties the bucket for a VM that lists have named as keeper since a list.
+func (b *bucket) reset(since list) {
+	b.since, b.fullFrom = since.from, since.from.Add(HandoverDelay)
+	if since.restarted {
+		b.fullFrom = since.from
+	}
+	b.at = b.fullFrom
 	b.periodAt, b.fullAt = b.at, b.at
 	b.level, b.granted, b.grantedBefore, b.shortAt = 0, 0, 0, time.Time{}
 }
--- a/internal/quotakeeper/quotakeeper.go
+++ b/internal/quotakeeper/quotakeeper.go
@@ -9,14 +9,15 @@
 
 const (
 	// MaxListAge is the age of the list of VMs above which a VM grants nothing.
-	MaxListAge = 3 * time.Second
+	MaxListAge = 5 * time.Second
 	// maxListGap is the time between two lists above which other VMs may have been keepers
-	// in between: the time for which the row of a VM counts after its write. It exceeds
-	// MaxListAge, so that one failed read does not empty the buckets.
-	maxListGap = 4500 * time.Millisecond
-	// HandoverDelay is the time for which a new keeper waits until the previous one can no
-	// longer grant by an old list.
-	HandoverDelay = MaxListAge
+	// in between. Only a VM that was not on the list can become keeper, and its row stays
+	// on the list for a minute after its last write.
+	maxListGap = 45 * time.Second
+	// HandoverDelay is the time for which a VM that is new on the list waits until the
+	// previous keeper can no longer grant by an old list. The store answers from states
+	// that are up to 3 s old.
+	HandoverDelay = MaxListAge + 3*time.Second
 	// historyRetention is how long superseded lists are kept. A part that was not used for
 	// longer has a bucket that fills from the oldest list.
 	historyRetention = time.Minute
@@ -43,9 +44,12 @@
 // list is a list of VMs that was received at a time. Lists are numbered; a number is left
 // out at each gap.
 type list struct {
-	number   int
-	from     time.Time
-	assigner *quotaassigner.Assigner
+	number int
+	from   time.Time
+	// restarted is true for the first list of a VM that was on the lists of others before
+	// its process started. Its predecessor was the keeper of the same parts and has ended.
+	restarted bool
+	assigner  *quotaassigner.Assigner
 }
 
 type partID struct {
@@ -60,11 +64,13 @@
 
 // UpdateList sets the list of VMs as of a time. Between two lists that are further apart
 // than maxListGap, other VMs may have been keepers, so that the parts are then handed
-// over as to a new keeper.
-func (k *Keeper) UpdateList(now, asOf time.Time, a *quotaassigner.Assigner) {
+// over as to a new keeper. The first list of a VM that was on the lists of others before
+// its process started is marked as restarted.
+func (k *Keeper) UpdateList(now, asOf time.Time, a *quotaassigner.Assigner, restarted bool) {
 	if !asOf.After(k.asOf) {
 		return
 	}
+	restarted = restarted && k.asOf.IsZero()
 	if k.asOf.IsZero() || asOf.Sub(k.asOf) > maxListGap {
 		k.lists = nil
 		k.newest++
@@ -72,7 +78,7 @@
 	k.asOf = asOf
 	if n := len(k.lists); n == 0 || !k.lists[n-1].assigner.Equal(a) {
 		k.newest++
-		k.lists = append(k.lists, list{number: k.newest, from: now, assigner: a})
+		k.lists = append(k.lists, list{number: k.newest, from: now, restarted: restarted, assigner: a})
 	}
 	for len(k.lists) > 1 && now.Sub(k.lists[1].from) > historyRetention {
 		k.lists = k.lists[1:]
@@ -106,7 +112,7 @@
 	if b.list == k.newest {
 		return true
 	}
-	var since time.Time
+	var since list
 	for i := len(k.lists) - 1; i >= 0; i-- {
 		l := k.lists[i]
 		if l.number == b.list {
@@ -117,9 +123,9 @@
 		if !ok || keeper.VM != k.self {
 			break
 		}
-		since = l.from
+		since = l
 	}
-	if since.IsZero() {
+	if since.assigner == nil {
 		return false
 	}
 	b.list = k.newest
@@ -146,7 +152,7 @@
 	}
 	k.buckets[id] = b
 	b.setQuota(r.quota(), r.Version)
-	if now.Before(b.since.Add(HandoverDelay)) {
+	if now.Before(b.fullFrom) {
 		return k.takeAsNew(now, b, r, age)
 	}
 	b.fill(now)
@@ -160,8 +166,8 @@
 // that names it, as after its start, grants nothing: when many VMs start together, each
 // of them may know only itself.
 func (k *Keeper) takeAsNew(now time.Time, b *bucket, r Request, age time.Duration) Answer {
-	fullIn := b.since.Add(HandoverDelay).Sub(now)
-	if b.since.Sub(k.lists[0].from) < HandoverDelay {
+	fullIn := b.fullFrom.Sub(now)
+	if b.since.Sub(k.lists[0].from) < HandoverDelay && !k.lists[0].restarted {
 		return Unavailable{Reason: NewKeeper, Retry: fullIn, ListAge: age}
 	}
 	g := b.grantAsNew(now, r)
--- a/internal/quotataker/call.go
+++ b/internal/quotataker/call.go
@@ -25,7 +25,7 @@
 // refuseWaiting refuses the requests that no keeper grants. It reports whether others
 // wait.
 func (t *Taker) refuseWaiting(a *accountState) bool {
-	now := t.timers.Now()
+	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	waiting := a.waiting[:0]
@@ -48,7 +48,7 @@
 // ask asks the keeper of a part for the tokens of the requests that wait. It reports
 // whether none waits any more.
 func (t *Taker) ask(a *accountState, part int) bool {
-	now := t.timers.Now()
+	now := t.now()
 	t.mu.Lock()
 	request, keeper, ok := t.request(now, a, part)
 	t.mu.Unlock()
@@ -66,7 +66,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	answered := t.timers.Now()
+	answered := t.now()
 	if err != nil {
 		t.silentUntil[keeper.VM] = answered.Add(silentDelay)
 		a.parts[part].unavailableUntil, a.parts[part].reason = answered.Add(silentDelay), quotakeeper.NoAnswer
--- a/internal/quotataker/quotataker.go
+++ b/internal/quotataker/quotataker.go
@@ -80,7 +80,7 @@
 }
 
 // New returns the taker of a VM. Parts has the parts of each quota in the order in which
-// their keepers are asked, and members returns the VMs that serve callers.
+// their keepers are asked, and members returns the VMs whose row was written recently.
 func New(self ident.VMID, parts []ident.Region, lifetime time.Duration, local Local, peers Peers, timers *timer.Service, members func() []snapshot.Member) *Taker {
 	return &Taker{
 		self: self, parts: parts, lifetime: lifetime, local: local, peers: peers, timers: timers, members: members,
@@ -88,6 +88,10 @@
 	}
 }
 
+// now returns the time by a clock that includes suspended time, so that a VM that resumes
+// uses no old token.
+func (t *Taker) now() time.Time { return time.Unix(0, int64(t.timers.Boot())) }
+
 // Order returns the regions in the order in which a VM of a region asks the keepers of
 // their parts: its own first, and the others in turn, so that VMs of different regions
 // ask in different orders.
@@ -145,7 +149,7 @@
 // Take takes a token for a request of an account whose quota is that of a version of the
 // configuration. It does not block; the ticket has the outcome.
 func (t *Taker) Take(account *clientaccount.Account, version ident.Version, class Class) *Ticket {
-	now := t.timers.Now()
+	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.account(now, account, version)
--- a/internal/quotataker/ticket.go
+++ b/internal/quotataker/ticket.go
@@ -95,7 +95,7 @@
 		}
 	}
 	t := k.taker
-	now := t.timers.Now()
+	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
--- a/internal/snapshot/entry.go
+++ b/internal/snapshot/entry.go
@@ -26,6 +26,11 @@
 	// or do not serve callers yet.
 	Present     []Member
 	MembersAsOf time.Time
+	// Recent has the entry VMs whose row was written recently, without their state.
+	Recent []Member
+	// Restarted is true if the row of this VM had been written recently when its process
+	// started.
+	Restarted bool
 	// MemberList is nil until the rows of entry VMs have been read.
 	MemberList *MemberList
 	// Enrolled is true once the row of this process has been written.
--- a/internal/snapshot/members.go
+++ b/internal/snapshot/members.go
@@ -44,7 +44,10 @@
 type MemberList struct {
 	// Present is sorted by VM id.
 	Present []Member
-	Digest  MemberDigest
+	// Recent has the VMs whose row was written recently, sorted, without their state and
+	// process: those whose process runs, and those that stopped and may start again.
+	Recent []Member
+	Digest MemberDigest
 	// Clock is the store's time of the read, and AsOf the time at which the read was
 	// sent.
 	Clock rows.Clock
@@ -55,7 +58,9 @@
 type MemberChange struct {
 	Digest MemberDigest `json:"digest"`
 	// Present has all members, or none if the digest equals that of the known list.
-	Present []Member   `json:"present,omitempty"`
+	Present []Member `json:"present,omitempty"`
+	// Recent has all recent members, or none if the digest equals that of the known list.
+	Recent []Member   `json:"recent,omitempty"`
 	Clock   rows.Clock `json:"clock"`
 	// Age is the time since the read was sent.
 	Age time.Duration `json:"age"`
@@ -74,9 +79,26 @@
 	return l
 }
 
+// WithRecent returns the list with recent members, of which the digest then depends.
+func (l *MemberList) WithRecent(recent []Member) *MemberList {
+	hash := xxhash.New()
+	// Writing to a hash never fails.
+	_, _ = fmt.Fprintf(hash, "%d\n", l.Digest)
+	next := &MemberList{Present: l.Present, Clock: l.Clock, AsOf: l.AsOf}
+	for _, m := range recent {
+		next.Recent = append(next.Recent, Member{VM: m.VM, RequestAddress: m.RequestAddress, PeerAddress: m.PeerAddress, Domain: m.Domain, Region: m.Region})
+	}
+	slices.SortFunc(next.Recent, func(a, b Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	for _, m := range next.Recent {
+		_, _ = fmt.Fprintf(hash, "%+v\n", m)
+	}
+	next.Digest = MemberDigest(hash.Sum64())
+	return next
+}
+
 // At returns the list with the times of a later read that returned the same members.
 func (l *MemberList) At(clock rows.Clock, asOf time.Time) *MemberList {
-	return &MemberList{Present: l.Present, Digest: l.Digest, Clock: clock, AsOf: asOf}
+	return &MemberList{Present: l.Present, Recent: l.Recent, Digest: l.Digest, Clock: clock, AsOf: asOf}
 }
 
 // Serving returns the members that accept callers.
@@ -94,7 +116,7 @@
 func (l *MemberList) ChangeSince(known MemberDigest, now time.Time) MemberChange {
 	c := MemberChange{Digest: l.Digest, Clock: l.Clock, Age: now.Sub(l.AsOf)}
 	if known != l.Digest {
-		c.Present = l.Present
+		c.Present, c.Recent = l.Present, l.Recent
 	}
 	return c
 }
