quotakeeper: use a list of VMs for 7 s

Keepers stopped 5 s after their last list, before the proof of the configuration lapsed in an outage of the store: 756 requests of the traced VMs were refused with list_too_old. A VM that joins waits 10 s, which is less than the time from the start of VMs to their first callers on known deployments. Measured: the tests of quotakeeper, quotagranter and peerlink pass.

--- a/internal/quotakeeper/oracle_test.go
+++ b/internal/quotakeeper/oracle_test.go
@@ -47,9 +47,9 @@
 	// restarted is true if it had a recent row when its process started, and read once it
 	// has read the table.
 	restarted, read bool
-	assigner          *quotaassigner.Assigner
-	quota             clientaccount.Quota
-	version           ident.Version
+	assigner        *quotaassigner.Assigner
+	quota           clientaccount.Quota
+	version         ident.Version
 }
 
 // fleet is a set of VMs that share the quota of one account.
--- a/internal/quotakeeper/quotakeeper.go
+++ b/internal/quotakeeper/quotakeeper.go
@@ -9,7 +9,7 @@
 
 const (
 	// MaxListAge is the age of the list of VMs above which a VM grants nothing.
-	MaxListAge = 5 * time.Second
+	MaxListAge = 7 * time.Second
 	// maxListGap is the time between two lists above which other VMs may have been keepers
 	// in between. Only a VM that was not on the list can become keeper, and its row stays
 	// on the list for a minute after its last write.
--- a/internal/snapshot/members.go
+++ b/internal/snapshot/members.go
@@ -61,7 +61,7 @@
 	Present []Member `json:"present,omitempty"`
 	// Recent has all recent members, or none if the digest equals that of the known list.
 	Recent []Member   `json:"recent,omitempty"`
-	Clock   rows.Clock `json:"clock"`
+	Clock  rows.Clock `json:"clock"`
 	// Age is the time since the read was sent.
 	Age time.Duration `json:"age"`
 }
