quotaenforcer: retry delays of 0.1 to 0.4 s while no keeper can grant

Callers repeat a request only once or twice, within 1.2 to 5 s, and the delay of 0.1 to 0.2 s let them return together. It is now drawn from 0.1 to 0.4 s, within which an agreement on keepers usually ends.

--- a/internal/filter/quotaenforcer/quotaenforcer.go
+++ b/internal/filter/quotaenforcer/quotaenforcer.go
@@ -23,9 +23,11 @@
 	// maxPrograms is the number of programs that are remembered as begun. A sub-agent's
 	// turn has no previous turn and is known by its program only.
 	maxPrograms = 8192
-	// maxUnavailableDelay bounds the retry delay while keepers can't be asked. Another VM
-	// may be able to ask them.
-	maxUnavailableDelay = 200 * time.Millisecond
+	// minUnavailableDelay and maxUnavailableDelay bound the retry delay while no keeper can
+	// grant. Callers repeat a request only once or twice, within 1.2 to 5 s, and a handover
+	// usually ends sooner.
+	minUnavailableDelay = 100 * time.Millisecond
+	maxUnavailableDelay = 400 * time.Millisecond
 	// minJitter is the shortest range of random retry delays.
 	minJitter = 200 * time.Millisecond
 )
@@ -144,7 +146,7 @@
 		Uint64("routes_version", uint64(e.x.Table.Version)).Bool("first_turn", e.class == quotataker.First).
 		Str("part", string(r.Part)).Str("keeper", string(r.Keeper)).Dur("list_age_ms", r.ListAge)
 	if r.Unavailable {
-		delay := maxUnavailableDelay/2 + rand.N(maxUnavailableDelay/2)
+		delay := minUnavailableDelay + rand.N(maxUnavailableDelay-minUnavailableDelay)
 		line.Str("reason", string(r.Reason)).Dur("retry_after_ms", delay).Msg("quota not checked")
 		e.meter.CountQuota(a.ID, "unavailable")
 		e.refused = failure.Refusal(failure.QuotaUnavailable, delay, "the quota of account %s can't be checked now; repeat the request", a.ID)
