quotakeeper: remove an unused constant of the oracle

The linter reported it: the model writes the row of a VM with each read, so that the age of the row never exceeds that of the list. Measured: the linter has no further finding.

--- a/internal/quotakeeper/oracle_test.go
+++ b/internal/quotakeeper/oracle_test.go
@@ -24,9 +24,6 @@
 	rowRetention = time.Minute
 	// restartRetention is the age of its row up to which a VM counts as restarted.
 	restartRetention = 50 * time.Second
-	// rowAllowance is subtracted from the age of a VM's row, which must not exceed that of
-	// a list.
-	rowAllowance = 40 * time.Second
 	// staleness is the largest age of the state from which the store answers.
 	staleness = 3 * time.Second
 )
