programtracker: remember digests of program ids

A caller may send ids of up to 16 KB, of which the tracker kept 8192: up to 128 MB on VMs that have 112 MB, outside the budget for requests. It now keeps their 64-bit hashes.

--- a/internal/programtracker/programtracker.go
+++ b/internal/programtracker/programtracker.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -19,7 +20,8 @@
 )
 
 const (
-	// maxPrograms limits the remembered programs to about 1 MB.
+	// maxPrograms limits the remembered programs to about 1 MB. Their ids are not kept:
+	// a caller may send ids of 16 KB.
 	maxPrograms = 8192
 	// retention is how long a program counts as under way after its last request.
 	// Programs pause for tools and for their users.
@@ -45,12 +47,15 @@
 
 // Programtracker remembers programs. It is safe for concurrent use.
 type Programtracker struct {
-	served *lru.Cache[ident.ProgramID, time.Time]
+	served *lru.Cache[digest, time.Time]
 
 	mu         sync.Mutex
 	objectives *lru.Cache[ident.RouteID, objective]
 }
 
+// digest is the hash of the id of a program.
+type digest uint64
+
 // objective is the usual time left at the first turns of a route.
 type objective struct {
 	usual   float64
@@ -75,7 +80,7 @@
 // New returns a Programtracker that knows no programs.
 func New() *Programtracker {
 	// New fails only if the size is not positive.
-	served, _ := lru.New[ident.ProgramID, time.Time](maxPrograms)
+	served, _ := lru.New[digest, time.Time](maxPrograms)
 	objectives, _ := lru.New[ident.RouteID, objective](maxRoutes)
 	return &Programtracker{served: served, objectives: objectives}
 }
@@ -85,7 +90,7 @@
 	if r.Program == nil {
 		return Standing{}
 	}
-	at, served := t.served.Get(r.Program.ID)
+	at, served := t.served.Get(hash(r.Program.ID))
 	isKnown := served && now.Sub(at) < retention
 	isFirst := r.Program.Previous == "" && r.Prompt != nil && !isKnown
 	usual, known := t.usualObjective(route, r.Program.TimeLeft, isFirst)
@@ -127,6 +132,8 @@
 // Served records that a request of a program was admitted.
 func (t *Programtracker) Served(now time.Time, program *traffic.Program) {
 	if program != nil {
-		t.served.Add(program.ID, now)
+		t.served.Add(hash(program.ID), now)
 	}
 }
+
+func hash(id ident.ProgramID) digest { return digest(xxhash.Sum64String(string(id))) }
--- a/internal/programtracker/programtracker_test.go
+++ b/internal/programtracker/programtracker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +47,22 @@
 func TestStanding(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", newAssessor())).To(Succeed())
 }
+
+// Guards against callers that fill the memory of a VM with programs of long ids: a header
+// section has up to 16 KB.
+func TestLongIDs(t *testing.T) {
+	g := NewWithT(t)
+	const programs, idBytes, bound = 2000, 12 << 10, 4 << 20
+	heap := func() int64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	tracker, before := programtracker.New(), heap()
+	for i := range programs {
+		tracker.Served(time.Unix(1000, 0), &traffic.Program{ID: ident.ProgramID(strings.Repeat("a", idBytes) + fmt.Sprint(i))})
+	}
+	g.Expect(heap() - before).To(BeNumerically("<", bound))
+	runtime.KeepAlive(tracker)
+}
