connectionlimiter: refuse a request whose connection was cut before its handler

A connection that was chosen for a new one while the last bytes of a header section arrived entered the serving phase nevertheless. Its request was passed on with a context that net/http cancels at once, and no answer could be written. The handler now refuses it as not run, and writes stay possible. The check whether a chosen connection serves a request and its end are one step; before, a request received in between was cut. The new test failed before the change because the handler ran.

--- a/internal/connectionlimiter/body.go
+++ b/internal/connectionlimiter/body.go
@@ -33,6 +33,10 @@
 				refuse(w, err)
 				return
 			}
+			if !c.enterServing() {
+				refuse(w, c.noRoom())
+				return
+			}
 		} else {
 			c.enter(receiving)
 			b := &body{ReadCloser: r.Body, conn: c, writer: w, control: http.NewResponseController(w)}
--- a/internal/connectionlimiter/conn.go
+++ b/internal/connectionlimiter/conn.go
@@ -90,7 +90,7 @@
 	c.phase, c.since = p, now
 }
 
-// enterServing begins to serve a request whose body was received. It reports false if the
+// enterServing begins to serve a request that was received. It reports false if the
 // connection was cut before.
 func (c *conn) enterServing() bool {
 	now := c.limiter.timers.Now()
@@ -105,8 +105,14 @@
 // giveWay ends the connection in favour of a new one, unless a request was received on it
 // since it was chosen.
 func (c *conn) giveWay() {
-	if current, _ := c.activity(); current != serving {
-		c.cut(ConnectionsUse)
+	c.mu.Lock()
+	isServing := c.phase == serving
+	if !isServing {
+		c.end()
+	}
+	c.mu.Unlock()
+	if !isServing {
+		c.limiter.onRefusal(ConnectionsUse)
 	}
 }
 
@@ -116,6 +122,11 @@
 	c.limiter.onRefusal(reason)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.end()
+}
+
+// end ends reads, and the writes of a request that is served. The lock is held.
+func (c *conn) end() {
 	c.isCut = true
 	// The errors mean that the connection is closed already.
 	_ = c.Conn.SetReadDeadline(past)
@@ -144,8 +155,9 @@
 func (c *conn) observe(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		// The header section has been read; the phase of a body begins in the handler.
-		c.enter(serving)
+		// The header section has been read; the phase of a body begins in the handler,
+		// which also refuses a request whose connection was cut.
+		c.enterServing()
 	case http.StateIdle:
 		c.enter(idle)
 		c.head, c.charged = headcounter.Headcounter{}, 0
--- a/internal/connectionlimiter/connectionlimiter_test.go
+++ b/internal/connectionlimiter/connectionlimiter_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -211,6 +212,42 @@
 	}
 }
 
+// Guards against a request that runs although its connection was closed in favour of
+// another one while its header section arrived, and against a refusal that is not written.
+func TestCutBeforeHandler(t *testing.T) {
+	g := NewWithT(t)
+	timers := timer.New()
+	memory := memorylimiter.New(total, reserved, small, timers, func() float64 { return 0 })
+	listener := &pipeListener{conns: make(chan net.Conn, 2), closed: make(chan struct{})}
+	caller, served := net.Pipe()
+	_, other := net.Pipe()
+	listener.conns <- served
+	listener.conns <- other
+	limiter := connectionlimiter.New(memory, timers, 1)
+	hasRun := false
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { hasRun = true })}
+	limiter.Attach(server)
+	limited := limiter.Listen(listener)
+	conn, err := limited.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() {
+		_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		_, _ = io.Copy(io.Discard, caller)
+	}()
+	_, err = conn.Read(make([]byte, 4<<10))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = limited.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	server.ConnState(conn, http.StateActive)
+	response := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodGet, "/", nil)
+	server.Handler.ServeHTTP(response, request.WithContext(server.ConnContext(request.Context(), conn)))
+	g.Expect(hasRun).To(BeFalse())
+	g.Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+	_, err = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against an answer that exceeds the budget.
 func TestLargeAnswer(t *testing.T) {
 	g := NewWithT(t)
