memorylimiter: keep the stage of a request that has claimed nothing yet

A pipelined request whose header section has only a Host line claims nothing before it runs. The memory that was claimed for it later, such as that of a composed turn, counted as that of a request still being received, which may be dropped in favour of others although it may have run. A stage that was entered is now kept for the first growth and ends with Release. The test of the first rule failed before the change because the running request was dropped.

--- a/internal/memorylimiter/memorylimiter.go
+++ b/internal/memorylimiter/memorylimiter.go
@@ -163,8 +163,13 @@
 	}
 	if c.state.ID == 0 {
 		m.nextID++
-		c.state = evictor.Claim{ID: m.nextID, Started: now, Stage: evictor.Receiving{}}
-		c.state.Progressed, c.moved = now, 0
+		// A request may have entered a stage before it claimed anything.
+		stage := c.state.Stage
+		if stage == nil {
+			stage = evictor.Receiving{}
+		}
+		c.state = evictor.Claim{ID: m.nextID, Started: now, Progressed: now, Stage: stage}
+		c.moved = 0
 		m.claims[c.state.ID] = c
 	}
 	switch decision := m.limits.Decide(now, c.state, n, m.used, m.states(n)).(type) {
@@ -249,11 +254,10 @@
 	m := c.limiter
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c.state.ID == 0 {
-		return
+	if c.state.ID != 0 {
+		delete(m.claims, c.state.ID)
+		m.giveBack(c, c.state.Held)
 	}
-	delete(m.claims, c.state.ID)
-	m.giveBack(c, c.state.Held)
 	c.state = evictor.Claim{}
 }
 
--- a/internal/memorylimiter/memorylimiter_test.go
+++ b/internal/memorylimiter/memorylimiter_test.go
@@ -125,6 +125,36 @@
 	g.Expect(m.Used()).To(BeZero())
 }
 
+// Guards against dropping a request that may have run: one that had claimed nothing when it
+// began to run, because its header section was empty.
+func TestRunningBeforeFirstGrowth(t *testing.T) {
+	g := NewWithT(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	m := memorylimiter.New(total, reserved, small, timer.New(timer.WithManual(clock)), func() float64 { return 0 })
+	running := m.NewClaim(func() { t.Error("a running request was dropped") })
+	g.Expect(running.Enter(evictor.Running{})).To(Succeed())
+	g.Expect(running.Grow(total - reserved)).To(Succeed())
+	clock.Advance(2 * time.Second)
+	g.Expect(m.NewClaim(func() {}).Cover(2 * small)).To(MatchError(failure.Overloaded))
+	running.Release()
+}
+
+// Guards against a request that can't be dropped because the one before on the connection
+// claimed nothing while it ran.
+func TestStageEndsWithRequest(t *testing.T) {
+	g := NewWithT(t)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	m := memorylimiter.New(total, reserved, small, timer.New(timer.WithManual(clock)), func() float64 { return 0 })
+	isDropped := false
+	receiving := m.NewClaim(func() { isDropped = true })
+	g.Expect(receiving.Enter(evictor.Running{})).To(Succeed())
+	receiving.Release()
+	g.Expect(receiving.Grow(total - reserved)).To(Succeed())
+	clock.Advance(2 * time.Second)
+	g.Expect(m.NewClaim(func() {}).Cover(2 * small)).To(MatchError(failure.Overloaded))
+	g.Expect(isDropped).To(BeTrue())
+}
+
 // Guards against a filter that meets the claim of another request.
 func TestContext(t *testing.T) {
 	g := NewWithT(t)
