poolmonitor: learn of slow first events while their calls go on

The time to the first event of a stream counted only when its call had ended, seconds after a shortage was visible. The controller now uses message.CallProgressed, and counts each first event once. Refusals of upstreams that were restarted (421) no longer count as refusals of full ones.

--- a/internal/poolmonitor/pool.go
+++ b/internal/poolmonitor/pool.go
@@ -97,14 +97,25 @@
 	return p.load.Slots > 0 && p.occupancy < idleOccupancy && float64(p.inFlight) <= float64(idleOccupancy)*p.load.Slots+1
 }
 
-// callEnded applies the result of a call.
-func (p *pool) callEnded(now time.Time, c call, result message.UpstreamResult) {
-	r := p.routes[c.route.ID]
+// route returns the state of a route, which is in use.
+func (p *pool) route(now time.Time, id ident.RouteID) *route {
+	r := p.routes[id]
 	if r == nil {
 		r = &route{}
-		p.routes[c.route.ID] = r
+		p.routes[id] = r
 	}
 	r.usedAt = now
+	return r
+}
+
+// callBegan applies the time to the first event of a call that goes on.
+func (p *pool) callBegan(now time.Time, c call, first time.Duration) {
+	p.addFirstEvent(now, c, p.route(now, c.route.ID), first)
+}
+
+// callEnded applies the result of a call.
+func (p *pool) callEnded(now time.Time, c call, result message.UpstreamResult) {
+	r := p.route(now, c.route.ID)
 	took := now.Sub(c.startedAt)
 	switch result := result.(type) {
 	case message.UpstreamAnswered:
@@ -114,14 +125,20 @@
 		if c.output > 0 {
 			r.PerToken = ewma(r.PerToken, (took-result.FirstByte)/time.Duration(c.output), smoothingFactor)
 		}
-		p.addFirstEvent(now, c, r, result.FirstByte)
+		if !c.begun {
+			p.addFirstEvent(now, c, r, result.FirstByte)
+		}
 	case message.UpstreamRefused:
+		if result.Misdirected {
+			// The upstream was restarted, which says nothing about its load.
+			return
+		}
 		p.fadeEvidence(now)
 		p.refusedShare = ewma(p.refusedShare, 1, smoothingFactor)
 	case message.UpstreamAbandoned:
 		// A call that was abandoned before its first event has waited at least this
 		// long; a call that is abandoned early says nothing.
-		if took-result.SilentFor <= silenceTolerance && took > r.FirstEvent+r.Delay {
+		if !c.begun && took-result.SilentFor <= silenceTolerance && took > r.FirstEvent+r.Delay {
 			c.idle = false
 			p.addFirstEvent(now, c, r, took)
 		}
--- a/internal/poolmonitor/poolmonitor.go
+++ b/internal/poolmonitor/poolmonitor.go
@@ -58,6 +58,8 @@
 	startedAt time.Time
 	// idle is true if the pool had room when the call started.
 	idle bool
+	// begun is true if the time to the first event was reported while the call went on.
+	begun bool
 }
 
 // New returns the controller.
@@ -76,6 +78,8 @@
 		m.serving, m.membersAsOf = len(r.Serving), r.AsOf
 	case message.ChooseUpstream:
 		return m.handleStart(now, r)
+	case message.CallProgressed:
+		return m.handleProgressed(now, r)
 	case message.CallEnded:
 		return m.handleEnd(now, r)
 	case message.WaitAbandoned:
@@ -157,6 +161,19 @@
 	return m.measureIfDue(now, r.Pool)
 }
 
+// handleProgressed processes the first event of a stream. Streams last for seconds, so that
+// a shortage would otherwise be known late.
+func (m *Poolmonitor) handleProgressed(now time.Time, r message.CallProgressed) []effect.Effect {
+	c, ok := m.calls[r.Ticket]
+	if !ok || c.begun || r.Progress.FirstEvent <= 0 {
+		return nil
+	}
+	c.begun = true
+	m.calls[r.Ticket] = c
+	m.pool(c.pool).callBegan(now, c, r.Progress.FirstEvent)
+	return m.measureIfDue(now, c.pool)
+}
+
 func (m *Poolmonitor) handleEnd(now time.Time, r message.CallEnded) []effect.Effect {
 	c, ok := m.calls[r.Ticket]
 	if !ok {
