admissioncontroller: play first events of streams in the load patterns

The player of the load patterns reported the time to the first event at the end of a call only, as the forwarder did before message.CallProgressed. It now reports it when it occurs, as for all requests with a prompt in operation.

--- a/internal/filter/admissioncontroller/player_test.go
+++ b/internal/filter/admissioncontroller/player_test.go
@@ -57,6 +57,8 @@
 }
 
 type playedCall struct {
+	// begins is the time of the first event, zero once that was reported.
+	begins time.Time
 	ends   time.Time
 	ticket ident.Ticket
 	result message.UpstreamResult
@@ -116,6 +118,12 @@
 		p.wakeAt = time.Time{}
 		p.handle(message.Tick{})
 	}
+	for i, c := range p.calls {
+		if answered, ok := c.result.(message.UpstreamAnswered); ok && !c.begins.IsZero() && !c.begins.After(now) {
+			p.calls[i].begins = time.Time{}
+			p.handle(message.CallProgressed{Ticket: c.ticket, Progress: message.Progress{FirstEvent: answered.FirstByte}})
+		}
+	}
 	p.calls = slices.DeleteFunc(p.calls, func(c playedCall) bool {
 		if c.ends.After(now) {
 			return false
@@ -187,7 +195,7 @@
 	if p.random.Float64() < f.Float("slow") {
 		first, lasts = time.Duration(f.Float("slow_by")*float64(first)), time.Duration(f.Float("slow_by")*float64(lasts))
 	}
-	call := playedCall{ends: p.clock.Now().Add(lasts), ticket: p.tickets, result: message.UpstreamAnswered{FirstByte: first}}
+	call := playedCall{begins: p.clock.Now().Add(first), ends: p.clock.Now().Add(lasts), ticket: p.tickets, result: message.UpstreamAnswered{FirstByte: first}}
 	if p.random.Float64() < f.Float("full") {
 		call.ends, call.result = p.clock.Now().Add(10*time.Millisecond), message.UpstreamRefused{}
 	}
