--- a/internal/connectionlimiter/connectionlimiter_test.go
+++ b/internal/connectionlimiter/connectionlimiter_test.go
@@ -49,8 +49,11 @@
 }
 
 func newLimitedServer(t testing.TB, listener net.Listener, maxConnections int, options ...connectionlimiter.Option) *limitedServer {
+	return newTimedServer(t, listener, timer.New(), maxConnections, options...)
+}
+
+func newTimedServer(t testing.TB, listener net.Listener, timers *timer.Service, maxConnections int, options ...connectionlimiter.Option) *limitedServer {
 	s := &limitedServer{released: make(chan struct{}), address: listener.Addr().String()}
-	timers := timer.New()
 	s.memory = memorylimiter.New(total, reserved, small, timers, func() float64 { return 0.5 })
 	options = append(options, connectionlimiter.WithOnRefusal(func(r connectionlimiter.Reason) {
 		s.mu.Lock()
@@ -75,7 +78,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 	case r.URL.Path == "/wait":
 		s.waiting.Add(1)
-		<-s.released
+		select {
+		case <-s.released:
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusInternalServerError)
+		}
 	case r.URL.Path == "/answer":
 		_, _ = w.Write(make([]byte, answerBytes))
 	case r.URL.Path == "/large":
--- a/internal/peerlink/codec_test.go
+++ b/internal/peerlink/codec_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"strings"
 	"testing"
@@ -25,6 +26,7 @@
 	read := func(text string) (string, error) {
 		var decoded string
 		err := codec.ReadObject(bufio.NewReader(strings.NewReader(text)), &decoded)
+		g.Expect(m.Used()).To(BeZero(), "the memory of a message is returned")
 		return decoded, err
 	}
 	var written bytes.Buffer
@@ -40,8 +42,6 @@
 	g.Expect(err).To(MatchError(bufio.ErrBufferFull))
 	_, err = read(strings.Repeat("A: b\r\n", 100))
 	g.Expect(err).To(MatchError(ContainSubstring("header lines")))
-	codec.claim.Release()
-	g.Expect(m.Used()).To(BeZero())
 }
 
 // Guards against header lines of a peer that are read without a bound, or that end in a
@@ -84,6 +84,26 @@
 	g.Eventually(third).Should(BeClosed())
 }
 
+// Guards against requests that are handled beyond the budget, and against memory that stays
+// claimed after them.
+func TestRequestMemory(t *testing.T) {
+	g := NewWithT(t)
+	m := memorylimiter.New(120<<10, 0, 1<<10, timer.New(), func() float64 { return 0 })
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	h := &boundedHandler{pending: make(chan struct{}, 2), memory: m, Handler: jsonrpc2.HandlerWithError(blockingHandler(entered, release))}
+	stream := jsonrpc2.NewBufferedStream(discardConn{}, jsonrpc2.VSCodeObjectCodec{})
+	conn := jsonrpc2.NewConn(t.Context(), stream, h)
+	params := json.RawMessage(strings.Repeat("1", 40<<10))
+	h.Handle(t.Context(), conn, &jsonrpc2.Request{Notif: true, Params: &params})
+	<-entered
+	g.Expect(m.Used()).To(BeNumerically(">=", 80<<10))
+	h.Handle(t.Context(), conn, &jsonrpc2.Request{Notif: true, Params: &params})
+	g.Eventually(conn.DisconnectNotify()).Should(BeClosed())
+	close(release)
+	g.Eventually(m.Used).Should(BeZero())
+	g.Expect(entered).To(BeEmpty())
+}
+
 func blockingHandler(entered chan<- struct{}, release <-chan struct{}) func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		entered <- struct{}{}
--- a/internal/poolmonitor/poolmonitor_test.go
+++ b/internal/poolmonitor/poolmonitor_test.go
@@ -28,7 +28,9 @@
 		monitor: poolmonitor.New(), now: time.Unix(1000, 0),
 		route: &routing.Route{ID: "route", Target: 400 * time.Millisecond, Timeout: time.Minute},
 	}
-	p.monitor.Handle(p.now, message.UpstreamsRead{Upstreams: []upstream.Upstream{{ID: "a", Pool: "pool", Slots: 8}}, AsOf: p.now})
+	p.monitor.Handle(p.now, message.UpstreamsRead{Upstreams: []upstream.Upstream{
+		{ID: "a", Pool: "pool", Slots: 8}, {ID: "b", Pool: "pool", Slots: 100, Leaving: true},
+	}, AsOf: p.now})
 	p.monitor.Handle(p.now, message.MembersListed{Serving: make([]snapshot.Member, 1), AsOf: p.now})
 	return p
 }
@@ -104,3 +106,71 @@
 		g.Expect(isShort).To(Equal(!isMisdirected))
 	}
 }
+
+// Guards against calls that count as in flight although their wait was abandoned or their
+// end was never reported.
+func TestCallsInFlightEnd(t *testing.T) {
+	for _, isAbandoned := range []bool{true, false} {
+		g := NewWithT(t)
+		p := newPlayer()
+		p.learn()
+		for range 40 {
+			call := p.start(0)
+			if isAbandoned {
+				p.after(0, message.WaitAbandoned{Ticket: call})
+			}
+		}
+		if !isAbandoned {
+			p.after(2*time.Minute, message.UpstreamsRead{Upstreams: []upstream.Upstream{{ID: "a", Pool: "pool", Slots: 8}}, AsOf: p.now})
+		}
+		p.now = p.now.Add(10 * time.Second)
+		p.playSlowCalls(10, 300*time.Millisecond)
+		_, isShort := p.load()
+		g.Expect(isShort).To(BeFalse())
+	}
+}
+
+// Guards against a shortage that stays unknown because its callers leave before the first
+// event.
+func TestAbandonedCallsShowDelay(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlayer()
+	p.learn()
+	started := p.now
+	for range 30 {
+		p.start(0)
+	}
+	p.now = p.now.Add(2 * time.Second)
+	for i := range 10 {
+		p.after(50*time.Millisecond, message.CallEnded{
+			Ticket: p.tickets - ident.Ticket(i), Result: message.UpstreamAbandoned{SilentFor: p.now.Add(50 * time.Millisecond).Sub(started)},
+		})
+	}
+	_, isShort := p.load()
+	g.Expect(isShort).To(BeTrue())
+}
+
+// Guards against single slow calls that add up to a shortage although long pauses lie
+// between them.
+func TestEvidenceFades(t *testing.T) {
+	for _, pause := range []time.Duration{10 * time.Millisecond, 10 * time.Second} {
+		g := NewWithT(t)
+		p := newPlayer()
+		p.learn()
+		for range 16 {
+			p.start(0)
+		}
+		p.now = p.now.Add(10 * time.Second)
+		p.playSlowCalls(4, pause)
+		_, isShort := p.load()
+		g.Expect(isShort).To(Equal(pause < time.Second))
+	}
+}
+
+// playSlowCalls plays calls one after another.
+func (p *player) playSlowCalls(calls int, pause time.Duration) {
+	for range calls {
+		call := p.start(pause)
+		p.after(300*time.Millisecond, message.CallEnded{Ticket: call, Result: message.UpstreamAnswered{FirstByte: 1100 * time.Millisecond}})
+	}
+}
