connectionlimiter: remove two directives that the linter does not need

Two earlier responses of the file are closed, so that the linter reported the directives as unused. Measured: the linter has no finding in the package.

--- a/internal/connectionlimiter/ordinary_test.go
+++ b/internal/connectionlimiter/ordinary_test.go
@@ -26,7 +26,7 @@
 	for range 5 {
 		_, err := io.WriteString(conn, compose(goldentest.Fields{"text": "12000", "body": "100"}))
 		g.Expect(err).NotTo(HaveOccurred())
-		response, err := http.ReadResponse(reader, nil) //nolint:bodyclose // The connection ends with the test.
+		response, err := http.ReadResponse(reader, nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(response.StatusCode).To(Equal(http.StatusOK))
 		_, _ = io.Copy(io.Discard, response.Body)
@@ -34,7 +34,7 @@
 	}
 	// The answer may arrive before all has been written.
 	go func() { _, _ = io.WriteString(conn, compose(goldentest.Fields{"text": "30000"})) }()
-	response, err := http.ReadResponse(reader, nil) //nolint:bodyclose // The connection ends with the test.
+	response, err := http.ReadResponse(reader, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(response.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	_ = response.Body.Close()
