quotakeeper: begin the load of the oracle once keepers grant in full

The times now follow from the delay with the same distances as before; the limits of the checks are unchanged.

--- a/internal/quotakeeper/flood_test.go
+++ b/internal/quotakeeper/flood_test.go
@@ -28,14 +28,14 @@
 		send := func(first bool) bool {
 			return f.request(f.vms[random(len(f.vms))], first, func() time.Duration { return 0 }, func() bool { return false })
 		}
-		const floodFrom, steps = 2000, 6000
+		const floodFrom, steps = loadStep + 1000, loadStep + 5000
 		for i := range steps {
 			f.advance()
 			begin := usual
 			if i >= floodFrom {
 				begin *= 8
 			}
-			if i > 1000 && float64(random(1_000_000)) < begin*1_000_000 && send(true) {
+			if i > loadStep && float64(random(1_000_000)) < begin*1_000_000 && send(true) {
 				next := i + 1 + random(50)
 				due[next] = append(due[next], program{left: further})
 			}
--- a/internal/quotakeeper/oracle_test.go
+++ b/internal/quotakeeper/oracle_test.go
@@ -24,6 +24,10 @@
 	rowRetention = time.Minute
 	// restartRetention is the age of its row up to which a VM counts as restarted.
 	restartRetention = 50 * time.Second
+	// fullStep is the step from which all keepers of a new fleet grant in full, 2 s after the
+	// handover delay, and loadStep the one at which callers begin.
+	fullStep = int((quotakeeper.HandoverDelay + 2*time.Second) / step)
+	loadStep = fullStep + 750
 	// staleness is the largest age of the state from which the store answers.
 	staleness = 3 * time.Second
 )
@@ -295,12 +299,12 @@
 		level, capacity := 0.0, float64(f.quota.Burst)
 		begun, served, refusedFirst, refusedFurther := 0, 0, 0, 0
 		begin := float64(f.quota.Rate) / 1.6 / float64(1+further) * step.Seconds()
-		for i := range 6000 {
+		for i := range loadStep + 5000 {
 			f.advance()
-			if i > 250 {
+			if i > fullStep {
 				level = min(level+float64(f.quota.Rate)*step.Seconds(), max(capacity, 1))
 			}
-			if i > 1000 && float64(random(1_000_000)) < begin*1_000_000 {
+			if i > loadStep && float64(random(1_000_000)) < begin*1_000_000 {
 				due[i] = append(due[i], further)
 			}
 			for _, left := range due[i] {
