review: cases of part one survive a taken port and judge a refused resumption

An entry VM whose port was taken between its choice and its start is started again with others; a stopped case ends its processes. Case 7 lets its client begin the turn again if the system refuses to resume it, so that a system that refuses passes.

--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -60,8 +60,9 @@
 // reply is what a client received. err is set unless the answer is complete.
 type reply struct {
 	status int
-	header http.Header
 	body   []byte
+	// closes is set if the channel ends with the answer.
+	closes bool
 	err    error
 }
 
@@ -89,10 +90,7 @@
 	if err == nil {
 		c.answered++
 	}
-	if response.Close && err == nil {
-		_ = c.Close()
-	}
-	return reply{status: response.StatusCode, header: response.Header, body: body, err: err}
+	return reply{status: response.StatusCode, body: body, closes: response.Close, err: err}
 }
 
 func header(name string, value any) string { return fmt.Sprintf("%s: %v", name, value) }
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -90,7 +90,7 @@
 		vms := l.vms
 		l.mu.Unlock()
 		for _, v := range vms {
-			v.kill()
+			v.end()
 		}
 		_ = os.RemoveAll(l.directory)
 		_ = l.record.Close()
@@ -189,6 +189,8 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// ended is set when the case ends: the process is not started again.
+	ended bool
 }
 
 func freeAddress() string {
@@ -199,11 +201,33 @@
 	return address
 }
 
+// maxStarts is how often an entry VM is started until its ports are free: another process
+// may take one between its choice and the start.
+const maxStarts = 5
+
 // startVM starts an entry VM with the settings that the deploy file's template gives and
 // waits until it is ready.
 func (l *lab) startVM(n int) *vm {
-	v := &vm{name: fmt.Sprintf("edge-%s-%d", zone, n), requests: freeAddress()}
+	for range maxStarts {
+		v := &vm{name: fmt.Sprintf("edge-%s-%d", zone, n)}
+		readiness := l.configureVM(v)
+		v.start()
+		l.mu.Lock()
+		l.vms = append(l.vms, v)
+		l.mu.Unlock()
+		if v.awaitReady(readiness) {
+			l.note("%s serves requests at %s, process %d", v.name, v.requests, v.pid())
+			return v
+		}
+	}
+	fail("an entry VM does not start")
+	return nil
+}
+
+// configureVM writes the settings of an entry VM and returns its readiness address.
+func (l *lab) configureVM(v *vm) string {
 	readiness := freeAddress()
+	v.requests = freeAddress()
 	text := fmt.Sprintf(`vm = %q
 domain = %q
 region = "semenanjung"
@@ -231,31 +255,36 @@
 	log, err := os.Create(filepath.Join(l.directory, v.name+".log"))
 	must(err, "create a log")
 	v.log = log
-	l.mu.Lock()
-	l.vms = append(l.vms, v)
-	l.mu.Unlock()
-	v.start()
-	l.awaitReady(readiness)
-	l.note("%s serves requests at %s, process %d", v.name, v.requests, v.pid())
-	return v
+	return readiness
 }
 
-// start starts the process with the command of the deploy file.
+// start starts the process with the command of the deploy file, unless the case has ended.
 func (v *vm) start() {
 	command := exec.Command("target/sassafrasspurd")
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SASSAFRASSPUR_SETTINGS=" + v.settings}
 	command.Stdout, command.Stderr = v.log, v.log
-	must(command.Start(), "start an entry VM")
 	exited := make(chan struct{})
 	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.ended {
+		return
+	}
+	must(command.Start(), "start an entry VM")
 	v.command, v.exited = command, exited
-	v.mu.Unlock()
 	go func() {
 		_ = command.Wait()
 		close(exited)
 	}()
 }
 
+// end ends the process for good.
+func (v *vm) end() {
+	v.mu.Lock()
+	v.ended = true
+	v.mu.Unlock()
+	v.kill()
+}
+
 func (v *vm) pid() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -301,17 +330,23 @@
 	return 0
 }
 
-func (l *lab) awaitReady(address string) {
+// awaitReady waits until the process answers that it is ready. It reports false if the
+// process has ended.
+func (v *vm) awaitReady(address string) bool {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if v.hasExited() {
+			return false
+		}
 		response, err := client.Get("http://" + address + "/api/readyz")
 		if err != nil {
 			continue
 		}
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			return
+			return true
 		}
 	}
 	fail("an entry VM is not ready after 20 s")
+	return false
 }
--- a/review/lab2/ordinary.go
+++ b/review/lab2/ordinary.go
@@ -47,7 +47,7 @@
 		}
 		if c.answered == 0 {
 			r := c.send(message{id: attemptID(), method: http.MethodGet, path: "/look/2f", limit: 1500 * time.Millisecond})
-			if r.err != nil || r.status != http.StatusOK || r.header.Get("Connection") == "close" {
+			if r.err != nil || r.status != http.StatusOK || r.closes {
 				_ = c.Close()
 				c = nil
 				time.Sleep(50 * time.Millisecond)
@@ -67,7 +67,7 @@
 		default:
 			results <- fmt.Sprintf("status %d, ran %d times|", r.status, ran)
 		}
-		if r.err != nil || r.status != http.StatusOK {
+		if r.err != nil || r.status != http.StatusOK || r.closes {
 			_ = c.Close()
 			c = nil
 			time.Sleep(50 * time.Millisecond)
--- a/review/lab2/resume.go
+++ b/review/lab2/resume.go
@@ -17,6 +17,10 @@
 	wordPause    = 40 * time.Millisecond
 	// breakAfter is the number of events after which the channel of the first attempt breaks.
 	breakAfter = 5
+	// maxRestarts is how often a turn that has failed is sent again from its start, and
+	// restartPause the time before that.
+	maxRestarts  = 2
+	restartPause = 300 * time.Millisecond
 )
 
 // playResume lets a turn of a remembered conversation lose its channel in the middle. The
@@ -84,8 +88,9 @@
 }
 
 // openTurn sends the first turn. With the disruption, the process of its entry VM is killed
-// in the middle of the answer, and the client resumes the stream at another one. It returns
-// the events that the client received and the id of the attempt that was answered whole.
+// in the middle of the answer, and the client resumes the stream at another one, or sends the
+// turn again from its start if that is refused. It returns the events that the client
+// received and the id of the attempt that was answered whole.
 func (l *lab) openTurn(first, second *vm, opening message, turn func(previous string, extra ...string) message) ([]string, string) {
 	c, err := dial(first.requests)
 	must(err, "connect")
@@ -109,16 +114,24 @@
 	first.kill()
 	_ = c.Close()
 
-	again, err := dial(second.requests)
-	must(err, "connect")
 	resumed := turn("", header("Last-Event-Id", len(events)))
 	resumed.body = opening.body
-	r := again.send(resumed)
+	r := sendOnce(second.requests, resumed)
 	l.note("turn %s resumes after event %d: %v", resumed.id, len(events), r)
-	if r.err != nil || r.status != http.StatusOK {
-		return nil, ""
+	if r.err == nil && r.status == http.StatusOK {
+		return append(events, eventData(r.body)...), resumed.id
+	}
+	for range maxRestarts {
+		time.Sleep(restartPause)
+		restarted := turn("")
+		restarted.body = opening.body
+		r := sendOnce(second.requests, restarted)
+		l.note("turn %s begins again: %v", restarted.id, r)
+		if r.err == nil && r.status == http.StatusOK {
+			return eventData(r.body), restarted.id
+		}
 	}
-	return append(events, eventData(r.body)...), resumed.id
+	return nil, ""
 }
 
 // readEvents reads n events of a stream after its request was sent. It returns the data of
