--- a/review/lab2/desk.go
+++ b/review/lab2/desk.go
@@ -61,7 +61,7 @@
 	for r, service := range map[*replica]string{engine: "pembantu", counter: "kaunter"} {
 		address, err := serve(r)
 		must(err, "start a replica")
-		l.register(r.id, service, address, 64, always)
+		l.register(r.id, service, address, 64, startedNow())
 	}
 	l.configure(7, []object{
 		route("plan-chat", "/plan/", "streaming", "pembantu", 2, 6000, object{"retained": true, "sticky": true, "targetGapMs": 250}),
@@ -70,16 +70,12 @@
 	}, []object{engineService("pembantu"), service("kaunter")})
 }
 
-// planMessage returns a turn of a remembered conversation.
-func planMessage(program, previous string) message {
-	m := message{id: attemptID(), method: http.MethodPost, path: "/plan/2f", limit: 6 * time.Second, body: []byte("question;"), headers: []string{
+// planMessage returns the first turn of a remembered conversation.
+func planMessage(program string) message {
+	return message{id: attemptID(), method: http.MethodPost, path: "/plan/2f", limit: 6 * time.Second, body: []byte("question;"), headers: []string{
 		header("X-Program-Id", program), header("X-Session-Id", "77"+program), header("X-Program-Deadline-Ms", 20000),
 		header("X-Token-Budget", 4000), header("X-Token-Usage", "1840,136"), header("X-Model", "m"), header("X-Prompt-Prefix", "5c1e07a2:800,e4402b7d:250"),
 	}}
-	if previous != "" {
-		m.headers = append(m.headers, header("X-Previous-Turn", previous))
-	}
-	return m
 }
 
 // sendOnce sends a request on a channel of its own.
--- a/review/lab2/endless.go
+++ b/review/lab2/endless.go
@@ -35,7 +35,7 @@
 		clients.Go(func() {
 			time.Sleep(2 * time.Second)
 			for i := 0; time.Now().Before(until); i++ {
-				r := sendOnce(v.requests, planMessage(fmt.Sprintf("3fa8%02x%02x", n, i), ""))
+				r := sendOnce(v.requests, planMessage(fmt.Sprintf("3fa8%02x%02x", n, i)))
 				l.note("turn of program %d: %v", n, r)
 				time.Sleep(time.Second)
 			}
@@ -44,6 +44,7 @@
 	clients.Wait()
 	close(results)
 	lost := l.tally(results)
+	l.noteLink()
 	l.note("the platform ended the process %d times for its memory", ends.Load())
 	return verdict{
 		broken: lost > maxLost,
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -104,7 +104,7 @@
 		return "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(linkedListener{listener}) }()
 	return listener.Addr().String(), nil
 }
 
@@ -153,16 +153,17 @@
 	return s
 }
 
-// register writes the entry of a replica at each heartbeat while alive reports true.
-func (l *lab) register(id, service, address string, slots int, alive func() bool) {
-	born := time.Now().UnixMilli()
-	write := func(seq int) {
+// register writes the entry of a replica at each heartbeat. started returns the time of its
+// last start, and false while it is down.
+func (l *lab) register(id, service, address string, slots int, started func() (time.Time, bool)) {
+	write := func(seq int, born time.Time) {
 		l.put("servers", rows.Key(id), object{
 			"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-			"coldRemainingMs": 0, "seq": seq, "born": born,
+			"coldRemainingMs": 0, "seq": seq, "born": born.UnixMilli(),
 		})
 	}
-	write(1)
+	born, _ := started()
+	write(1, born)
 	go func() {
 		for seq := 2; ; seq++ {
 			select {
@@ -170,14 +171,23 @@
 				return
 			case <-time.After(heartbeat):
 			}
-			if alive() {
-				write(seq)
+			now, up := started()
+			if !up {
+				continue
 			}
+			if !now.Equal(born) {
+				born, seq = now, 1
+			}
+			write(seq, born)
 		}
 	}()
 }
 
-func always() bool { return true }
+// startedNow is the start of a replica that does not end.
+func startedNow() func() (time.Time, bool) {
+	now := time.Now()
+	return func() (time.Time, bool) { return now, true }
+}
 
 // vm is the process of an entry VM.
 type vm struct {
--- a/review/lab2/memory.go
+++ b/review/lab2/memory.go
@@ -15,6 +15,9 @@
 	// each of unfinishedBytes, which is far below maxBodyBytes.
 	crowdSize       = 900
 	unfinishedBytes = 62000
+	// crowdPace is the pause between two bodies of the whole crowd, which then sends 31 MB a
+	// second, a quarter of a machine's link.
+	crowdPace = 2 * time.Millisecond
 	// answerBytes is the size of the answers to ordinary requests.
 	answerBytes = 60000
 	// memoryTime is how long ordinary clients send requests.
@@ -35,7 +38,7 @@
 	}}
 	address, err := serve(counter)
 	must(err, "start a replica")
-	l.register(counter.id, "kaunter", address, 64, always)
+	l.register(counter.id, "kaunter", address, 64, startedNow())
 	l.configure(7, []object{
 		route("permit-file", "/permit/", "non_idempotent", "kaunter", 1, 6000, nil),
 		route("slot-lookup", "/look/", "idempotent", "kaunter", 2, 1500, nil),
@@ -45,10 +48,12 @@
 	var crowd, clients sync.WaitGroup
 	stop := make(chan struct{})
 	if l.trouble {
+		pace := time.NewTicker(crowdPace)
+		defer pace.Stop()
 		for range crowdSize {
-			crowd.Go(func() { leaveUnfinished(v.requests, stop) })
+			crowd.Go(func() { leaveUnfinished(v.requests, pace.C, stop) })
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(4 * time.Second)
 		l.note("%d clients leave bodies of %d bytes unfinished; memory of the VM %d MB", crowdSize, unfinishedBytes, v.residentMB())
 	}
 	results := make(chan string, 10000)
@@ -61,6 +66,7 @@
 	close(results)
 	crowd.Wait()
 	lost := l.tally(results)
+	l.noteLink()
 	l.note("process alive: %v, %d MB", !v.hasExited(), v.residentMB())
 	return verdict{
 		broken: lost > maxLost,
@@ -70,13 +76,13 @@
 
 // leaveUnfinished sends bodies that stop one byte short of their end and keeps their
 // connections open, one after the other.
-func leaveUnfinished(address string, stop <-chan struct{}) {
+func leaveUnfinished(address string, pace <-chan time.Time, stop <-chan struct{}) {
 	body := []byte(strings.Repeat("b", unfinishedBytes-1))
 	for {
 		select {
 		case <-stop:
 			return
-		default:
+		case <-pace:
 		}
 		c, err := dial(address)
 		if err != nil {
@@ -84,7 +90,12 @@
 			continue
 		}
 		m := message{id: attemptID(), method: http.MethodPost, path: "/permit/c", limit: 6 * time.Second}
-		_, err = c.Write(append(m.head(unfinishedBytes), body...))
+		_, err = c.Write(m.head(unfinishedBytes))
+		for sent := 0; sent < len(body) && err == nil; sent += linkPiece {
+			piece := body[sent:min(len(body), sent+linkPiece)]
+			link.pass(len(piece))
+			_, err = c.Write(piece)
+		}
 		closed := make(chan struct{})
 		if err == nil {
 			go func() {
--- a/review/lab2/poison.go
+++ b/review/lab2/poison.go
@@ -38,6 +38,7 @@
 	listener net.Listener
 	server   *http.Server
 	up       bool
+	born     time.Time
 }
 
 // poisonJournal has the times at which the request reached replicas and crashed them.
@@ -75,16 +76,17 @@
 	}
 	server := &http.Server{Handler: &c.replica, ReadHeaderTimeout: time.Minute}
 	c.mu.Lock()
-	c.listener, c.server, c.up = listener, server, true
+	c.listener, c.server, c.up, c.born = listener, server, true, time.Now()
 	c.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
-func (c *crashing) isUp() bool {
+// started returns the time of the last start, and false while the replica is down.
+func (c *crashing) started() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.up
+	return c.born, c.up
 }
 
 // crash closes the listener and all connections, and starts the replica again later.
@@ -114,7 +116,7 @@
 		c.id = fmt.Sprintf("i-02d9e6b%d", n)
 		c.run = c.answer
 		must(c.start(), "start a replica")
-		l.register(c.id, "pembantu", c.address, 64, c.isUp)
+		l.register(c.id, "pembantu", c.address, 64, c.started)
 	}
 	l.configure(7, []object{
 		route("quick-ask", "/ask/", "streaming", "pembantu", 2, 6000, object{"resumable": true, "sticky": true, "targetGapMs": 250}),
--- a/review/lab2/resume.go
+++ b/review/lab2/resume.go
@@ -14,7 +14,9 @@
 
 const (
 	streamEvents = 12
-	wordPause    = 40 * time.Millisecond
+	// entryVMs is the number of machines of the site, of which one is killed.
+	entryVMs  = 12
+	wordPause = 40 * time.Millisecond
 	// breakAfter is the number of events after which the channel of the first attempt breaks.
 	breakAfter = 5
 	// maxRestarts is how often a turn that has failed is sent again from its start, and
@@ -45,11 +47,15 @@
 	}
 	address, err := serve(engine)
 	must(err, "start a replica")
-	l.register(engine.id, "pembantu", address, 64, always)
+	l.register(engine.id, "pembantu", address, 64, startedNow())
 	l.configure(7, []object{
 		route("plan-chat", "/plan/", "streaming", "pembantu", 2, 6000, object{"retained": true, "resumable": true, "sticky": true, "targetGapMs": 250}),
 	}, []object{engineService("pembantu")})
-	first, second := l.startVM(1), l.startVM(2)
+	var vms []*vm
+	for n := range entryVMs {
+		vms = append(vms, l.startVM(n+1))
+	}
+	first, second := vms[0], vms[1]
 
 	const inputs = "first question;"
 	turn := func(previous string, extra ...string) message {
