forwarder: end streams at the number of tokens asked for

Cause: nothing compared a stream with the number of tokens that the caller stated, although the budget of the program counts on it.

The first event beyond that number is an error of the upstream.

--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -339,6 +339,9 @@
 		if event.ID <= f.lastEvent {
 			return finished{failure.New(failure.UpstreamFailed, "the upstream repeated event %d", event.ID)}, message.UpstreamFailed{Connected: true}
 		}
+		if limit := f.x.MaxEvents(); limit > 0 && f.x.Trace.Events >= limit {
+			return retryElsewhere{errors.Errorf("the upstream sent more than the %d events that the request allows", limit)}, message.UpstreamFailed{Connected: true}
+		}
 		if err := f.forwardEvent(a, event); err != nil {
 			return finished{err}, message.UpstreamAbandoned{}
 		}
--- a/internal/filter/forwarder/forwarder_test.go
+++ b/internal/filter/forwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
 	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 var errBroken = errors.New("the connection broke")
@@ -152,6 +153,10 @@
 		Request: traffic.Request{ID: "request"}, Pool: "pool", Deadline: time.Now().Add(left),
 		Route: &routing.Route{Kind: kind(f["kind"]), Attempts: f.Int("attempts")}, Responder: recordingResponder{&s.log},
 	}
+	if f.Has("output") {
+		x.Request.Prompt = &traffic.Prompt{Output: unit.Tokens(f.Int("output"))}
+		x.Table = routing.New(1, nil, []routing.Pool{{ID: "pool", Engine: &routing.Engine{EventTokens: unit.Tokens(f.Int("event_tokens"))}}}, routing.Limits{})
+	}
 	if f.Has("permits") {
 		permits := f.Int("permits")
 		x.Permit = func(context.Context) error {
@@ -173,7 +178,8 @@
 // that a request did not run although it was sent, and a stream with missing or
 // duplicate events. It also guards against repeatable requests that wait for a
 // hanging upstream until the caller gives up, or that end with the error of one
-// upstream although another could serve them, and against runs that no quota permits.
+// upstream although another could serve them, against runs that no quota permits, and
+// against callers that get more tokens than they asked for.
 func TestForwarder(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/*.txtar", decide)).To(Succeed())
 }
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -127,6 +127,26 @@
 	return x.Account.ID
 }
 
+// EventTokens returns the number of tokens in one event of the exchange's pool.
+func (x *Exchange) EventTokens() unit.Tokens {
+	if x.Table != nil {
+		if engine := x.Table.Pools[x.Pool].Engine; engine != nil && engine.EventTokens > 0 {
+			return engine.EventTokens
+		}
+	}
+	return 1
+}
+
+// MaxEvents returns the number of events that carry the largest number of tokens that the
+// request may generate, 0 if the caller did not state it.
+func (x *Exchange) MaxEvents() int {
+	if x.Request.Prompt == nil || x.Request.Prompt.Output <= 0 {
+		return 0
+	}
+	tokens := x.EventTokens()
+	return int((x.Request.Prompt.Output-1)/tokens) + 1
+}
+
 // Fingerprint returns a hash of the host, method, target and body that the upstream
 // receives. The body of a turn that continues others begins with them.
 func (x *Exchange) Fingerprint() ident.Fingerprint {
