turnrecorder: claim the memory of the output of turns

The output that is kept for the history had no limit, for one turn or for all.

Cause: requests claim their memory, answers did not.

The output counts against the memory for requests, with its copies. What the stated tokens need is reserved before the turn runs, up to 16 KB, so that a refusal is still true; more waits for room, which slows the upstream down and drops no other request. A turn that becomes too long to be stored ends.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/answerclaimer"
 	"github.com/sassafrasspur/sassafrasspur/internal/escrow"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/granter"
@@ -63,6 +64,12 @@
 	if stream.Retained {
 		turn.Previous = program.Previous
 	}
+	memory := answerclaimer.New(ctx, answerclaimer.WithCopies(outputCopies))
+	if stream.Retained {
+		if err := memory.Reserve(expectedOutput(x.Request.Prompt)); err != nil {
+			return err
+		}
+	}
 	grant, history, err := t.prepare(ctx, x, turn, stream.Retained)
 	x.Trace.PrepareDuration = t.timers.Now().Sub(x.Arrived)
 	if failure.Is(err, failure.NotFound) {
@@ -78,7 +85,7 @@
 	x.Body = slices.Concat(history, x.Request.Body)
 	responder := &turnResponder{
 		Responder: x.Responder, ctx: ctx, exchange: x, ledger: t.ledger, timers: t.timers,
-		turn: turn, tokensPerEvent: eventTokens(x), retained: stream.Retained,
+		turn: turn, retained: stream.Retained, memory: memory,
 	}
 	x.Responder = responder
 	err = next(ctx, x)
@@ -146,31 +153,44 @@
 	return nil
 }
 
-// eventTokens returns the number of tokens in one event of the exchange's pool.
-func eventTokens(x *traffic.Exchange) unit.Tokens {
-	if engine := x.Table.Pools[x.Pool].Engine; engine != nil && engine.EventTokens > 0 {
-		return engine.EventTokens
-	}
-	return 1
+const (
+	// outputCopies is the number of copies of the output of a turn: as it grows, as the
+	// text of the turn, and as a transaction in base64.
+	outputCopies = 5
+	// tokenBytes is the size of the text of a token, above that of words of the languages
+	// in use.
+	tokenBytes unit.Bytes = 8
+	// maxReservedOutput bounds the output that is reserved before a turn runs. Callers
+	// may state any number of tokens.
+	maxReservedOutput unit.Bytes = 16 << 10
+)
+
+// expectedOutput returns the size of the longest output that the caller asks for.
+func expectedOutput(p *traffic.Prompt) unit.Bytes {
+	tokens := min(p.Output, unit.Tokens(maxReservedOutput/tokenBytes))
+	return tokenBytes * unit.Bytes(tokens)
 }
 
 // turnResponder records the answer that the caller receives.
 type turnResponder struct {
 	traffic.Responder
-	ctx            context.Context
-	exchange       *traffic.Exchange
-	ledger         *ledger.Ledger
-	timers         *timer.Service
-	turn           ledger.Turn
-	tokensPerEvent unit.Tokens
-	retained       bool
+	ctx      context.Context
+	exchange *traffic.Exchange
+	ledger   *ledger.Ledger
+	timers   *timer.Service
+	turn     ledger.Turn
+	retained bool
+	// memory claims that of the output.
+	memory *answerclaimer.Answerclaimer
 
 	status int
 	events int
 	output []byte
 }
 
-func (r *turnResponder) usedTokens() unit.Tokens { return unit.Tokens(r.events) * r.tokensPerEvent }
+func (r *turnResponder) usedTokens() unit.Tokens {
+	return unit.Tokens(r.events) * r.exchange.EventTokens()
+}
 
 // Begin records the status and sends the head of the stream.
 func (r *turnResponder) Begin(status int, header http.Header) error {
@@ -181,13 +201,29 @@
 // Event counts an event before it is sent, since a part of it may reach the caller
 // even if sending fails.
 func (r *turnResponder) Event(e upstream.Event) error {
-	r.events++
 	if r.retained {
-		r.output = append(append(r.output, e.Data...), '\n')
+		if err := r.keep(e.Data); err != nil {
+			return err
+		}
 	}
+	r.events++
 	return r.Responder.Event(e)
 }
 
+// keep adds the data of an event to the output. It waits for memory, and fails if the
+// turn has become too long to be stored: an upstream may send without end.
+func (r *turnResponder) keep(data []byte) error {
+	size := len(r.output) + len(data) + len("\n")
+	if text := len(r.exchange.Request.Body) + size; text > ledger.MaxTextBytes {
+		return failure.New(failure.UpstreamFailed, "the input and output of the turn have more than %d bytes and can't be stored", ledger.MaxTextBytes)
+	}
+	if _, err := r.memory.Hold(r.ctx, unit.Bytes(size)); err != nil {
+		return err
+	}
+	r.output = append(append(r.output, data...), '\n')
+	return nil
+}
+
 // End stores a retained turn and then completes the answer. If the turn can't be
 // stored, the answer is not completed, since no later turn could continue it.
 func (r *turnResponder) End() error {
--- a/internal/hostiletest/process_test.go
+++ b/internal/hostiletest/process_test.go
@@ -151,15 +151,17 @@
 }
 
 func configuration() any {
-	route := func(name, kind string) any {
+	route := func(name, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": "example.test", "prefix": "/" + name + "/", "routeKind": kind,
 			"timeoutMs": 5000, "maxAttempts": 1, "service": "services",
 		}
 	}
+	plan := route("plan", "streaming")
+	plan["retained"] = true
 	return map[string]any{
 		"version":  1,
-		"routes":   []any{route("file", "non_idempotent"), route("look", "idempotent")},
+		"routes":   []any{route("file", "non_idempotent"), route("look", "idempotent"), plan},
 		"services": []any{map[string]any{"name": "services", "maxConns": 400}},
 		"limits":   map[string]any{"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
@@ -172,16 +174,22 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
-// withLargeAnswers answers requests below largeAnswerPath in place of a replica.
+// withLargeAnswers answers requests below largeAnswerPath, and those for answers without
+// end, in place of a replica.
 func withLargeAnswers(r *replica.Replica) http.Handler {
 	large := make([]byte, largeAnswerBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if !strings.HasPrefix(request.URL.Path, largeAnswerPath) {
+		answer, isEndless := endlessAnswers[request.URL.Path]
+		if !isEndless && !strings.HasPrefix(request.URL.Path, largeAnswerPath) {
 			r.ServeHTTP(w, request)
 			return
 		}
 		w.Header().Set("X-Attempt-Id", request.Header.Get("X-Attempt-Id"))
 		w.Header().Set("X-Server-Signature", "signature")
+		if isEndless {
+			answer.write(w)
+			return
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(large)))
 		_, _ = w.Write(large)
 	})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,6 +29,10 @@
 	retryDelay = 1500 * time.Millisecond
 )
 
+// MaxTextBytes is the size of the input and output of a turn above which it can't be
+// stored: a transaction of the platform's store has 1 MB at most.
+const MaxTextBytes = 1 << 20
+
 // Turn identifies a turn and the one that it continues.
 type Turn struct {
 	Program ident.ProgramID
