--- a/internal/hostiletest/endless_test.go
+++ b/internal/hostiletest/endless_test.go
@@ -35,6 +35,7 @@
 		}
 		return b.String()
 	}},
+	"/plan/event": {"text/event-stream", func(int) string { return strings.Repeat("data: "+strings.Repeat("w", 2000)+"\n", 32) }},
 	"/look/body":  {"application/octet-stream", func(int) string { return strings.Repeat("b", 64<<10) }},
 }
 
@@ -49,7 +50,7 @@
 }
 
 // Guards against upstreams whose answers have no end and take the memory of the VM: turns
-// whose output is kept, and a body. The turns
+// whose output is kept, an event that is read until it is complete, and a body. The turns
 // state more tokens than arrive.
 func TestAnswersWithoutEnd(t *testing.T) {
 	for path := range endlessAnswers {
