enginecaller, servicecaller: bound the answers of the program API

More tokens than max_tokens on one connection, or 4 MB of text as for services, end the call as broken. The answers of engines and services count against the memory for requests, and wait for room.

--- a/internal/enginecaller/caller.go
+++ b/internal/enginecaller/caller.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/answerclaimer"
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
@@ -126,7 +127,10 @@
 // invokes void and then passes the whole answer to chunk again. A non-nil error
 // is one of the variants of Failure.
 func (c *Caller) Call(ctx context.Context, request Request, chunk func(index int, text string) error, void func() error) (Result, error) {
-	run := &run{caller: c, request: request, chunk: chunk, void: void, started: c.timers.Now()}
+	run := &run{
+		caller: c, request: request, chunk: chunk, void: void, started: c.timers.Now(),
+		memory: answerclaimer.New(ctx, answerclaimer.WithCopies(answerCopies), answerclaimer.WithFree(freeAnswerBytes)),
+	}
 	for attempt := 0; ; attempt++ {
 		err := run.connect(ctx, attempt > 0)
 		if err == nil {
--- a/internal/enginecaller/failure.go
+++ b/internal/enginecaller/failure.go
@@ -112,6 +112,8 @@
 	// TokenCountMismatch reports a usage that differs from the number of tokens
 	// received, so that the position to resume from is unknown.
 	TokenCountMismatch = errors.ConstError("tokens missing or repeated")
+	// Excessive reports an answer that is longer than was asked for.
+	Excessive = errors.ConstError("answer too long")
 	// Leaving reports that the engine is shutting down.
 	Leaving = errors.ConstError("engine is leaving")
 	// Full reports that the engine's queue is full.
--- a/internal/enginecaller/run.go
+++ b/internal/enginecaller/run.go
@@ -15,6 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/answerclaimer"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
@@ -25,6 +26,15 @@
 	// maxEventBytes limits the size of an event, which holds one token and the
 	// usage.
 	maxEventBytes = 64 << 10
+	// maxAnswerBytes limits the text of an answer, as that of services.
+	maxAnswerBytes unit.Bytes = 4 << 20
+	// answerCopies is the number of copies of an answer: its tokens, the joined text, and
+	// its record in JSON.
+	answerCopies = 4
+	// freeAnswerBytes is the size up to which an answer claims no memory.
+	freeAnswerBytes unit.Bytes = 4 << 10
+	// tokenOverhead is the memory of a token beside its text.
+	tokenOverhead unit.Bytes = 16
 	// closeTimeout limits the wait for the end of the body after the end marker.
 	// A connection can be reused only if its body was read to the end.
 	closeTimeout = 100 * time.Millisecond
@@ -39,6 +49,9 @@
 	started time.Time
 
 	tokens []string
+	// size is the memory of the tokens, which memory claims.
+	size   unit.Bytes
+	memory *answerclaimer.Answerclaimer
 	// resumeFrom is the position of the first token requested on the current
 	// connection.
 	resumeFrom       int
@@ -99,7 +112,7 @@
 			if r.timeToFirstEvent == 0 {
 				r.timeToFirstEvent = lastEvent.Sub(r.started)
 			}
-			done, err := r.handleEvent(item.data)
+			done, err := r.handleEvent(parent, item.data)
 			if err != nil {
 				return err
 			}
@@ -134,13 +147,15 @@
 	}
 }
 
-func (r *run) handleEvent(data string) (done bool, err error) {
+func (r *run) handleEvent(ctx context.Context, data string) (done bool, err error) {
 	e, err := decodeEvent(r.request.ID, data)
 	if err != nil {
 		return false, err
 	}
 	if e.text != "" {
-		r.tokens = append(r.tokens, e.text)
+		if err := r.keep(ctx, e.text); err != nil {
+			return false, err
+		}
 		if err := r.chunk(len(r.tokens)-1, e.text); err != nil {
 			return false, callbackError{err}
 		}
@@ -151,6 +166,24 @@
 	return e.done, nil
 }
 
+// keep adds a token to the answer. It waits for memory, and fails if the engine sends more
+// than was asked for: it may send without end.
+func (r *run) keep(ctx context.Context, token string) error {
+	// An engine may restart an answer that it was to resume.
+	if limit := r.request.MaxTokens; limit > 0 && len(r.tokens)-r.resumeFrom >= int(limit) {
+		return errors.Annotatef(Excessive, "more than %d tokens", limit)
+	}
+	r.size += unit.Bytes(len(token)) + tokenOverhead
+	if r.size > maxAnswerBytes {
+		return errors.Annotatef(Excessive, "more than %d bytes", maxAnswerBytes)
+	}
+	if _, err := r.memory.Hold(ctx, r.size); err != nil {
+		return err
+	}
+	r.tokens = append(r.tokens, token)
+	return nil
+}
+
 // verify checks that the stream is complete. The usage counts the tokens of the
 // whole answer, including those received before a resume. If the engine restarted
 // the answer instead, verify voids the chunks and delivers them again.
@@ -202,7 +235,7 @@
 	if errors.As(err, &notRun) && notRun.Leaving {
 		return false
 	}
-	return !errors.Is(err, TokenCountMismatch) && !errors.As(err, &callback) && !errors.As(err, &rejected)
+	return !errors.Is(err, TokenCountMismatch) && !errors.Is(err, Excessive) && !errors.As(err, &callback) && !errors.As(err, &rejected)
 }
 
 // classify converts the error of the last connection to a Failure. A refusal
--- a/internal/servicecaller/caller.go
+++ b/internal/servicecaller/caller.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
+	"github.com/sassafrasspur/sassafrasspur/internal/answerclaimer"
 	"github.com/sassafrasspur/sassafrasspur/internal/connector"
 	"github.com/sassafrasspur/sassafrasspur/internal/expirer"
 	"github.com/sassafrasspur/sassafrasspur/internal/record"
@@ -21,6 +22,14 @@
 	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
+const (
+	// answerCopies is the number of copies of an answer: two while it is read, its result
+	// as JSON and as text, and its record.
+	answerCopies = 5
+	// freeAnswerBytes is the size up to which an answer claims no memory.
+	freeAnswerBytes unit.Bytes = 4 << 10
+)
+
 // Request is one dispatch of a call to a service.
 type Request struct {
 	// Address is the IP address and port of the service.
@@ -111,7 +120,8 @@
 	if err := checkStatus(response); err != nil {
 		return Result{}, err
 	}
-	reply, err := ReadReply(response.Body, c.maxAnswerBytes)
+	memory := answerclaimer.New(ctx, answerclaimer.WithCopies(answerCopies), answerclaimer.WithFree(freeAnswerBytes))
+	reply, err := ReadReply(memory.Reader(ctx, response.Body), c.maxAnswerBytes)
 	if err != nil {
 		return Result{}, Unknown{Cause: contextCause(ctx, err)}
 	}
