turnrecorder: refuse to resume a turn that is kept

Cause: the turn was stored with the events of the last attempt alone. testdata/turns.txtar of TestEntrySession shows it with one VM and no loss: on the commit before, a turn after event 1 is answered with events 2 and 3 and stored with these.

Only the caller has the beginning, so that such a turn is refused at once as not run; callers send a failed turn again from its start.

--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -109,6 +109,7 @@
 			route("look", "idempotent", "services", nil),
 			route("ask", "streaming", "engines", map[string]any{"resumable": true, "sticky": true}),
 			route("chat", "streaming", "engines", map[string]any{"retained": true, "retentionS": 60, "sticky": true}),
+			route("talk", "streaming", "engines", map[string]any{"retained": true, "retentionS": 60, "sticky": true, "resumable": true}),
 		},
 		"services": []any{
 			map[string]any{"name": "services", "maxConns": 110},
@@ -255,7 +256,7 @@
 		header := map[string]string{"X-Attempt-Id": id, "X-Deadline-Ms": "2000"}
 		for name, key := range map[string]string{
 			"X-Program-Id": "program", "X-Token-Budget": "budget", "X-Previous-Turn": "previous",
-			"X-Token-Usage": "tokens", "Kv-From": "forged", "X-Expect-Instance": "forged",
+			"X-Token-Usage": "tokens", "Last-Event-Id": "last_event", "Kv-From": "forged", "X-Expect-Instance": "forged",
 		} {
 			if f.Has(key) {
 				header[name] = f[key]
@@ -272,7 +273,7 @@
 }
 
 // Guards against answers that are altered, cut off or mixed up, requests that run
-// twice, overspent budgets and lost histories, on the complete path with two entry
+// twice, overspent budgets, and histories that are lost or lack the beginning of a turn, on the complete path with two entry
 // VMs.
 func TestEntrySession(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -32,6 +32,9 @@
 	PlanStale           = Kind("plan_stale")
 	ShuttingDown        = Kind("shutting_down")
 	Quarantined         = Kind("quarantined")
+	// NotResumable is a request that asks for the rest of an answer and must be sent again
+	// from its start.
+	NotResumable = Kind("not_resumable")
 	// QuotaExceeded is a request beyond the quota of its client account.
 	QuotaExceeded = Kind("quota_exceeded")
 	// QuotaUnavailable is a request whose quota can't be checked.
--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -64,6 +64,10 @@
 	if stream.Retained {
 		turn.Previous = program.Previous
 	}
+	if stream.Retained && x.Request.LastEventID > 0 {
+		// The beginning of the answer is known to the caller alone.
+		return failure.Refusal(failure.NotResumable, restartDelay, "a turn that is kept can't be resumed after event %d; send it again from its start", x.Request.LastEventID)
+	}
 	memory := answerclaimer.New(ctx, answerclaimer.WithCopies(outputCopies))
 	if stream.Retained {
 		if err := memory.Reserve(expectedOutput(x.Request.Prompt)); err != nil {
@@ -93,6 +97,10 @@
 	return err
 }
 
+// restartDelay is the retry delay sent to a caller that must send its turn again from its
+// start, which needs no wait.
+const restartDelay = 100 * time.Millisecond
+
 // storeTimeDivisor divides the time to the deadline: a turn waits for the store for
 // a third of it, so that a refused caller has time left to retry.
 const storeTimeDivisor = 3
