turnrecorder: fail turns that are answered without a stream

A retained turn that an upstream answered with a body in place of a stream was passed on as whole and not stored, so that the next turn of the program was refused as not found.

Cause: only the end of a stream stores a turn. TestAnswerThatIsNoStream fails on the commit before for the statuses 200 and 204. Such an answer is now an error; errors of upstreams are passed on as before.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -200,6 +200,15 @@
 	return unit.Tokens(r.events) * r.exchange.EventTokens()
 }
 
+// Complete sends an answer that is no stream. A successful one is an error for a retained
+// turn: it is not stored, so that no later turn could continue it.
+func (r *turnResponder) Complete(a upstream.Complete) error {
+	if r.retained && a.Status/100 == http.StatusOK/100 {
+		return failure.New(failure.UpstreamFailed, "the upstream answered a turn with a body that is no stream; the turn may have run")
+	}
+	return r.Responder.Complete(a)
+}
+
 // Begin records the status and sends the head of the stream.
 func (r *turnResponder) Begin(status int, header http.Header) error {
 	r.status = status
--- a/internal/filter/turnrecorder/turnrecorder_test.go
+++ b/internal/filter/turnrecorder/turnrecorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/standin/rowstore"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
+	"github.com/sassafrasspur/sassafrasspur/internal/upstream"
 )
 
 // TestTurnOfAnotherAccount guards against a final answer for a turn that may belong to the
@@ -90,3 +92,32 @@
 	g.Expect(serve("missing")).To(MatchError(failure.NotFound))
 	g.Expect(serve("")).To(Succeed())
 }
+
+// completedResponder records whether a complete answer was sent.
+type completedResponder struct {
+	traffic.Responder
+	isSent bool
+}
+
+func (r *completedResponder) Complete(upstream.Complete) error {
+	r.isSent = true
+	return nil
+}
+
+// TestAnswerThatIsNoStream guards against a turn that its caller takes for whole although
+// it is not stored, so that no later turn can continue it.
+func TestAnswerThatIsNoStream(t *testing.T) {
+	g := NewWithT(t)
+	timers := timer.New()
+	filter := turnrecorder.New("domain", nil, ledger.New(rowstore.New(), timers), timers)
+	for status, isPassedOn := range map[int]bool{http.StatusOK: false, http.StatusNoContent: false, http.StatusInternalServerError: true} {
+		responder := &completedResponder{}
+		err := filter.Serve(t.Context(), &traffic.Exchange{
+			Request: traffic.Request{ID: "one", Prompt: &traffic.Prompt{}, Program: &traffic.Program{ID: "p"}},
+			Route:   &routing.Route{Kind: routing.Stream{Retained: true}}, Responder: responder,
+			Arrived: timers.Now(), Deadline: timers.Now().Add(time.Minute),
+		}, func(_ context.Context, x *traffic.Exchange) error { return x.Responder.Complete(upstream.Complete{Status: status}) })
+		g.Expect(responder.isSent).To(Equal(isPassedOn), "status %d", status)
+		g.Expect(err == nil).To(Equal(isPassedOn), "status %d", status)
+	}
+}
