forwarder: count upstreams that crash in the middle of a stream

Cause: a connection that broke after an event was not taken for a sign of a crash, although an engine begins to run a request with its first token. It now is, after any number of events; whether the upstream refuses connections tells a crash from a broken connection, as before. A caller that leaves meanwhile no longer ends that check.

testdata/poison/streams.txtar fails on the commit before: the six lines with such requests are sent on without end, and two of them leave sound requests unserved; upstreams that end by themselves under streams make no request a suspect, before and after. TestCrashAfterCallerLeft was made stricter, and fails without the second change.

--- a/internal/filter/forwarder/crash.go
+++ b/internal/filter/forwarder/crash.go
@@ -14,9 +14,10 @@
 // has crashed refuses a connection within a round trip.
 const downTimeout = 200 * time.Millisecond
 
-// isDown reports whether an upstream refuses connections.
+// isDown reports whether an upstream refuses connections. The crash counts also if the
+// caller has left meanwhile.
 func (f *forwarding) isDown(ctx context.Context, u upstream.Upstream) bool {
-	ctx, cancel := context.WithTimeout(ctx, downTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), downTimeout)
 	defer cancel()
 	return f.caller.IsDown(ctx, u)
 }
@@ -24,7 +25,6 @@
 // reportCrash reports to the control goroutine an upstream that crashed while it had the
 // request. It returns true if the request must not be sent to another one.
 func (f *forwarding) reportCrash(ctx context.Context, crashed upstream.Upstream, sentAt, crashedAt time.Time) bool {
-	// The crash counts also if the caller has left meanwhile.
 	answer, err := f.control.Ask(context.WithoutCancel(ctx), func(t ident.Ticket) message.Message {
 		return message.UpstreamCrashed{
 			Ticket: t, Request: f.x.Request.ID, Upstream: crashed.ID, Incarnation: crashed.Incarnation, SentAt: sentAt, CrashedAt: crashedAt,
--- a/internal/filter/forwarder/crash_test.go
+++ b/internal/filter/forwarder/crash_test.go
@@ -27,9 +27,9 @@
 	return upstream.Failed{Err: errBroken, Sent: true}
 }
 
-func (l leavingCaller) IsDown(context.Context, upstream.Upstream) bool {
+func (l leavingCaller) IsDown(ctx context.Context, _ upstream.Upstream) bool {
 	l.leave()
-	return true
+	return ctx.Err() == nil
 }
 
 // TestCrashAfterCallerLeft guards against a request that crashes upstreams and is not
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -77,8 +77,8 @@
 	permitted int
 	headSent  bool
 	lastEvent ident.EventID
-	// broken is true if the connection broke in the current attempt before an answer
-	// or an event.
+	// broken is true if the connection broke in the current attempt before the end of
+	// the answer.
 	broken bool
 	// progress is that of the current attempt.
 	progress progress
@@ -326,7 +326,7 @@
 			if ctx.Err() != nil {
 				return retryElsewhere{ctx.Err()}, message.UpstreamAbandoned{SilentFor: f.timers.Now().Sub(lastReceived)}
 			}
-			f.broken = result.FirstByte == 0 && !errors.Is(err, os.ErrDeadlineExceeded)
+			f.broken = !errors.Is(err, os.ErrDeadlineExceeded)
 			return retryElsewhere{err}, message.UpstreamFailed{Connected: true}
 		}
 		lastReceived = f.timers.Now()
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -53,6 +54,10 @@
 	// with poisonPause between two of them.
 	poisonCopies = 6
 	poisonPause  = 300 * time.Millisecond
+	// streamEvents is the number of events of a whole answer, and eventPause the time
+	// before each of them.
+	streamEvents = 6
+	eventPause   = 30 * time.Millisecond
 )
 
 // poisonFleet is a set of upstreams that end when they run a poisonous request.
@@ -61,6 +66,9 @@
 	// timesOut is true if upstreams answer a part of the poisonous requests with a
 	// timeout, before they begin to run them.
 	timesOut bool
+	// deadlyEvent is the event with which a poisonous request ends its upstream, 0 if it
+	// does so before its answer. Answers are streams if it is set.
+	deadlyEvent int
 	// curedAt is the time from which poisonous requests are sound, 0 if they stay so.
 	// served is true once one of them was served.
 	curedAt time.Duration
@@ -102,6 +110,13 @@
 		return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
 	case <-time.After(work):
 	}
+	if f.deadlyEvent > 0 {
+		s := &mortalStream{fleet: f, call: c, ended: ended, next: int(c.LastEventID) + 1}
+		if isPoison {
+			s.deadly, s.request = s.next+f.deadlyEvent-1, request
+		}
+		return upstream.Streaming{Status: http.StatusOK, Events: s}
+	}
 	if !isPoison {
 		return upstream.Complete{Status: http.StatusOK}
 	}
@@ -111,14 +126,49 @@
 	if timedOut {
 		return upstream.Complete{Status: http.StatusGatewayTimeout}
 	}
-	if f.end(c.Upstream.ID) {
+	f.endWith(c.Upstream.ID, request)
+	return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
+}
+
+// endWith ends the upstream of a poisonous request.
+func (f *poisonFleet) endWith(id ident.UpstreamID, request string) {
+	if f.end(id) {
 		f.mu.Lock()
 		f.ended[request] = append(f.ended[request], time.Since(f.start))
 		f.mu.Unlock()
 	}
-	return upstream.Failed{Err: errors.New("unexpected EOF"), Sent: true}
 }
 
+// mortalStream is an answer that breaks off when its upstream ends.
+type mortalStream struct {
+	fleet *poisonFleet
+	call  upstream.Call
+	ended chan struct{}
+	next  int
+	// deadly is the event of a poisonous request that ends the upstream, 0 for none.
+	deadly  int
+	request string
+}
+
+func (s *mortalStream) Next() (upstream.Event, error) {
+	if s.deadly > 0 && s.next > s.deadly {
+		s.fleet.endWith(s.call.Upstream.ID, s.request)
+		return upstream.Event{}, io.ErrUnexpectedEOF
+	}
+	if s.next > streamEvents {
+		return upstream.Event{}, io.EOF
+	}
+	select {
+	case <-s.ended:
+		return upstream.Event{}, io.ErrUnexpectedEOF
+	case <-time.After(eventPause):
+	}
+	s.next++
+	return upstream.Event{ID: ident.EventID(s.next - 1)}, nil
+}
+
+func (s *mortalStream) Close() {}
+
 // IsDown reports whether an upstream is down.
 func (f *poisonFleet) IsDown(_ context.Context, u upstream.Upstream) bool {
 	f.mu.Lock()
@@ -328,7 +378,7 @@
 		f := goldentest.Parse(line)
 		synctest.Test(t, func(*testing.T) {
 			fleet := &poisonFleet{
-				start: time.Now(), timesOut: f.Has("times_out"), curedAt: f.Duration("cured_at"), upstreams: map[ident.UpstreamID]*mortalUpstream{},
+				start: time.Now(), timesOut: f.Has("times_out"), deadlyEvent: f.Int("deadly_event"), curedAt: f.Duration("cured_at"), upstreams: map[ident.UpstreamID]*mortalUpstream{},
 				ended: map[string][]time.Duration{}, sent: map[string][]time.Duration{},
 			}
 			result = fleet.play(f)
--- a/internal/filter/turnrecorder/turnrecorder_test.go
+++ b/internal/filter/turnrecorder/turnrecorder_test.go
@@ -116,7 +116,9 @@
 			Request: traffic.Request{ID: "one", Prompt: &traffic.Prompt{}, Program: &traffic.Program{ID: "p"}},
 			Route:   &routing.Route{Kind: routing.Stream{Retained: true}}, Responder: responder,
 			Arrived: timers.Now(), Deadline: timers.Now().Add(time.Minute),
-		}, func(_ context.Context, x *traffic.Exchange) error { return x.Responder.Complete(upstream.Complete{Status: status}) })
+		}, func(_ context.Context, x *traffic.Exchange) error {
+			return x.Responder.Complete(upstream.Complete{Status: status})
+		})
 		g.Expect(responder.isSent).To(Equal(isPassedOn), "status %d", status)
 		g.Expect(err == nil).To(Equal(isPassedOn), "status %d", status)
 	}
