crashcounter: compare times of crashes in microseconds

TestRetriesWithinMillisecond fails on the commit before: 2 crashes are counted of 3. The rows have the microseconds in keys of their own; VMs that don't know these keys read the rows as before.

--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -137,7 +137,7 @@
 		key := rows.Key(string(f) + "/" + call)
 		c.add(f, key, entry{
 			event: crash{
-				start: start{m.Upstream, m.Incarnation}, byTarget: byTarget, sentAt: toMillisecond(m.SentAt), crashedAt: toMillisecond(m.CrashedAt),
+				start: start{m.Upstream, m.Incarnation}, byTarget: byTarget, sentAt: toMicrosecond(m.SentAt), crashedAt: toMicrosecond(m.CrashedAt),
 			},
 			seenAt: now,
 		})
--- a/internal/crashcounter/crashcounter_test.go
+++ b/internal/crashcounter/crashcounter_test.go
@@ -198,3 +198,33 @@
 func TestTrials(t *testing.T) {
 	NewWithT(t).Expect(goldentest.Check("testdata/trial/*.txtar", newDecider())).To(Succeed())
 }
+
+// TestRetriesWithinMillisecond guards against a request that crashes twice as many upstreams
+// because its next call, sent at once, counts as one that was under way at the crash.
+func TestRetriesWithinMillisecond(t *testing.T) {
+	g := NewWithT(t)
+	const work, pause = 60 * time.Millisecond, 300 * time.Microsecond
+	reject := func(err error) { t.Error(err) }
+	own, other := crashcounter.New(1, reject), crashcounter.New(2, reject)
+	now := time.Unix(1000, 0)
+	var stored rows.Page
+	for n := range 3 {
+		crashedAt := now.Add(work)
+		for _, e := range own.Handle(crashedAt, message.UpstreamCrashed{
+			Request: "request", Upstream: ident.UpstreamID(fmt.Sprint(n)), SentAt: now, CrashedAt: crashedAt, Target: "target", Contents: "contents",
+		}) {
+			if w, ok := e.(effect.WriteRows); ok {
+				for _, put := range w.Transaction.Puts {
+					stored.Rows = append(stored.Rows, rows.Row{ID: put.ID, Value: put.Value})
+				}
+			}
+		}
+		now = crashedAt.Add(pause)
+	}
+	other.Handle(now, message.RowsRead{Range: rows.Range{Table: table}, Page: stored})
+	for _, c := range []*crashcounter.Crashcounter{own, other} {
+		var view snapshot.Snapshot
+		c.Describe(&view)
+		g.Expect(view.Entry.Suspects).To(HaveKeyWithValue(ident.Fingerprint("contents"), HaveField("Crashes", 3)))
+	}
+}
--- a/internal/crashcounter/rows.go
+++ b/internal/crashcounter/rows.go
@@ -15,14 +15,17 @@
 )
 
 // eventRow is the stored form of an event. Times are in Unix milliseconds of the VM that
-// made the call.
+// made the call, with the microseconds beyond them.
 type eventRow struct {
 	Trial       bool              `json:"trial,omitempty"`
 	Upstream    ident.UpstreamID  `json:"upstream,omitempty"`
 	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
 	ByTarget    bool              `json:"by_target"`
 	SentAt      int64             `json:"sent_at_ms,omitempty"`
+	SentMicros  int64             `json:"sent_at_us,omitempty"`
 	CrashedAt   int64             `json:"crashed_at_ms,omitempty"`
+	// CrashedMicros is missing in rows of VMs that store milliseconds only.
+	CrashedMicros int64 `json:"crashed_at_us,omitempty"`
 }
 
 // encode returns the row of an event.
@@ -32,7 +35,8 @@
 	case crash:
 		row = eventRow{
 			Upstream: e.start.upstream, Incarnation: e.start.incarnation, ByTarget: e.byTarget,
-			SentAt: e.sentAt.UnixMilli(), CrashedAt: e.crashedAt.UnixMilli(),
+			SentAt: e.sentAt.UnixMilli(), SentMicros: e.sentAt.UnixMicro() % 1000,
+			CrashedAt: e.crashedAt.UnixMilli(), CrashedMicros: e.crashedAt.UnixMicro() % 1000,
 		}
 	case trial:
 		row.Trial = true
@@ -51,7 +55,8 @@
 	}
 	return crash{
 		start: start{stored.Upstream, stored.Incarnation}, byTarget: stored.ByTarget,
-		sentAt: time.UnixMilli(stored.SentAt), crashedAt: time.UnixMilli(stored.CrashedAt),
+		sentAt:    time.UnixMilli(stored.SentAt).Add(time.Duration(stored.SentMicros) * time.Microsecond),
+		crashedAt: time.UnixMilli(stored.CrashedAt).Add(time.Duration(stored.CrashedMicros) * time.Microsecond),
 	}, nil
 }
 
@@ -61,8 +66,9 @@
 	return ident.Fingerprint(f)
 }
 
-// toMillisecond returns the time as a row has it.
-func toMillisecond(t time.Time) time.Time { return time.UnixMilli(t.UnixMilli()) }
+// toMicrosecond returns the time as a row has it. A request is sent to its next upstream
+// within a millisecond of a crash.
+func toMicrosecond(t time.Time) time.Time { return time.UnixMicro(t.UnixMicro()) }
 
 // put returns the row of an event. It needs no condition: the key of a crash names one
 // call at one upstream.
