connectionlimiter: let long answers wait for their memory

Cause: an answer of more than 16 KB was written only if its memory could be claimed at that moment, and its connection was closed otherwise, even where stalled requests had just been dropped in its favour. It now waits up to 5 s: stalled requests give their memory back within 3 s. What can never have room is refused at once, as before.

--- a/internal/connectionlimiter/conn.go
+++ b/internal/connectionlimiter/conn.go
@@ -1,6 +1,7 @@
 package connectionlimiter
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -43,6 +44,9 @@
 	// does after its own.
 	discardTimeout  = 500 * time.Millisecond
 	maxDiscardBytes = 256 << 10
+	// roomTimeout bounds the wait for the memory of a long answer. Requests that stall are
+	// dropped after 1 s, and return their memory within 2 s.
+	roomTimeout = 5 * time.Second
 )
 
 // errRefused is returned after a refusal. net/http answers other errors by itself.
@@ -278,13 +282,14 @@
 func formatDelay(d time.Duration) string { return fmt.Sprintf("%.2f", d.Seconds()) }
 
 // Write writes to the connection. A caller that does not take the answer within the write
-// pace is given up. A long answer is written
-// only if its memory can be claimed, which that of an upstream's was before it was read.
+// pace is given up. A long answer, which its caller may leave unread, is written once its
+// memory is claimed. That of an upstream's answer was claimed before it was read; another
+// one waits for room, since its request has run.
 func (c *conn) Write(p []byte) (int, error) {
 	if len(p) <= paceBytes || c.limiter.messages {
 		return c.writePiece(p)
 	}
-	if err := c.claim.Cover(unit.Bytes(len(p))); err != nil {
+	if err := c.awaitRoom(unit.Bytes(len(p))); err != nil {
 		c.limiter.onRefusal(MemoryUsedUp)
 		return 0, err
 	}
@@ -304,6 +309,12 @@
 	return written, nil
 }
 
+func (c *conn) awaitRoom(n unit.Bytes) error {
+	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
+	defer cancel()
+	return c.claim.AwaitCover(ctx, n)
+}
+
 // endSending protects the request again, which may send more. If it was dropped meanwhile,
 // the next write fails.
 func (c *conn) endSending() { _ = c.claim.Enter(evictor.Running{}) }
--- a/internal/connectionlimiter/ordinary_test.go
+++ b/internal/connectionlimiter/ordinary_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/connectionlimiter"
+	"github.com/sassafrasspur/sassafrasspur/internal/evictor"
 	"github.com/sassafrasspur/sassafrasspur/internal/goldentest"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 )
@@ -110,3 +111,23 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(read + int(rest)).To(Equal(answerBytes))
 }
+
+// Guards against dropping the answer of a request that has run, because others hold the
+// memory at the moment at which it is written.
+func TestAnswerWaitsForRoom(t *testing.T) {
+	g := NewWithT(t)
+	s := newLimitedServer(t, listen(t), 1)
+	others := s.memory.NewClaim(func() { t.Error("a running request was dropped") })
+	g.Expect(others.Enter(evictor.Running{})).To(Succeed())
+	g.Expect(others.Grow(total - reserved - 1<<10)).To(Succeed())
+	time.AfterFunc(300*time.Millisecond, others.Release)
+	conn := dial(t, s.address)
+	_, err := io.WriteString(conn, "GET /answer HTTP/1.1\r\nHost: a\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	read, err := io.Copy(io.Discard, response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(BeEquivalentTo(answerBytes))
+	_ = response.Body.Close()
+}
--- a/internal/memorylimiter/memorylimiter.go
+++ b/internal/memorylimiter/memorylimiter.go
@@ -140,6 +140,16 @@
 	return refusal
 }
 
+// AwaitCover makes the claim hold at least n bytes, as soon as there is room. The error is a
+// refusal, after the end of the context, or at once if there can never be room.
+func (c *Claim) AwaitCover(ctx context.Context, n unit.Bytes) error {
+	err := c.Cover(n)
+	if err == nil || n > c.limiter.limits.Total || c.isDropped() {
+		return err
+	}
+	return c.Await(ctx, n-c.held())
+}
+
 func (c *Claim) held() unit.Bytes {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
