turnrecorder: refuse turns whose input can't be stored

A retained turn with more than 1 MB of input ran, and its answer was broken off at the end, since no transaction of the store can hold it; with the limit on outputs it broke off at the first event. It is now refused as too large before it runs.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -64,12 +64,11 @@
 	if stream.Retained {
 		turn.Previous = program.Previous
 	}
-	if stream.Retained && x.Request.LastEventID > 0 {
-		// The beginning of the answer is known to the caller alone.
-		return failure.Refusal(failure.NotResumable, restartDelay, "a turn that is kept can't be resumed after event %d; send it again from its start", x.Request.LastEventID)
-	}
 	memory := answerclaimer.New(ctx, answerclaimer.WithCopies(outputCopies))
 	if stream.Retained {
+		if err := checkRetained(x); err != nil {
+			return err
+		}
 		if err := memory.Reserve(expectedOutput(x.Request.Prompt)); err != nil {
 			return err
 		}
@@ -101,6 +100,20 @@
 // start, which needs no wait.
 const restartDelay = 100 * time.Millisecond
 
+// checkRetained refuses a turn that could not be stored whole, before it runs.
+func checkRetained(x *traffic.Exchange) error {
+	if x.Request.LastEventID > 0 {
+		// The beginning of the answer is known to the caller alone.
+		return failure.Refusal(failure.NotResumable, restartDelay,
+			"a turn that is kept can't be resumed after event %d; send it again from its start", x.Request.LastEventID)
+	}
+	if len(x.Request.Body) > ledger.MaxTextBytes {
+		return failure.Refusal(failure.TooLarge, 0,
+			"the input of a turn that is kept has more than %d bytes; send a smaller one", ledger.MaxTextBytes)
+	}
+	return nil
+}
+
 // storeTimeDivisor divides the time to the deadline: a turn waits for the store for
 // a third of it, so that a refused caller has time left to retry.
 const storeTimeDivisor = 3
--- a/internal/filter/turnrecorder/turnrecorder_test.go
+++ b/internal/filter/turnrecorder/turnrecorder_test.go
@@ -123,3 +123,41 @@
 		g.Expect(err == nil).To(Equal(isPassedOn), "status %d", status)
 	}
 }
+
+// TestTurnTooLongToStore guards against a turn that runs although it can't be stored, and
+// against an output that grows until the process has no memory.
+func TestTurnTooLongToStore(t *testing.T) {
+	g := NewWithT(t)
+	timers := timer.New()
+	filter := turnrecorder.New("domain", nil, ledger.New(rowstore.New(), timers), timers)
+	runs, sent := 0, 0
+	serve := func(input int) error {
+		return filter.Serve(t.Context(), &traffic.Exchange{
+			Request: traffic.Request{ID: "one", Prompt: &traffic.Prompt{}, Program: &traffic.Program{ID: "p"}, Body: make([]byte, input)},
+			Route:   &routing.Route{Kind: routing.Stream{Retained: true}}, Responder: countingResponder{events: &sent},
+			Arrived: timers.Now(), Deadline: timers.Now().Add(time.Minute),
+		}, func(_ context.Context, x *traffic.Exchange) error {
+			for runs++; ; {
+				if err := x.Responder.Event(upstream.Event{ID: 1, Data: make([]byte, 100<<10)}); err != nil {
+					return err
+				}
+			}
+		})
+	}
+	g.Expect(serve(ledger.MaxTextBytes + 1)).To(MatchError(failure.TooLarge))
+	g.Expect(runs).To(BeZero())
+	g.Expect(serve(500 << 10)).To(MatchError(failure.UpstreamFailed))
+	g.Expect(runs).To(Equal(1))
+	g.Expect(sent).To(Equal(5))
+}
+
+// countingResponder counts the events that are sent.
+type countingResponder struct {
+	traffic.Responder
+	events *int
+}
+
+func (r countingResponder) Event(upstream.Event) error {
+	*r.events++
+	return nil
+}
