--- a/internal/answerclaimer/answerclaimer.go
+++ b/internal/answerclaimer/answerclaimer.go
@@ -16,7 +16,7 @@
 )
 
 // stepBytes is the size in which the claim of an answer grows.
-const stepBytes unit.Bytes = 4 << 10
+const stepBytes unit.Bytes = 1 << 10
 
 // Answerclaimer claims the memory of one answer. It is not safe for concurrent use.
 type Answerclaimer struct {
@@ -89,28 +89,21 @@
 
 // Reader returns a reader that claims the memory of what is read from a source.
 func (a *Answerclaimer) Reader(ctx context.Context, source io.Reader) io.Reader {
-	return &claimingReader{source: source, claim: func(size unit.Bytes) error {
-		_, err := a.Hold(ctx, size)
-		return err
-	}}
+	var size unit.Bytes
+	return readerFunc(func(p []byte) (int, error) {
+		n, err := source.Read(p)
+		size += unit.Bytes(n)
+		if _, holdErr := a.Hold(ctx, size); holdErr != nil {
+			return 0, holdErr
+		}
+		return n, err
+	})
 }
 
-// claimingReader calls claim with the size of all that was read.
-type claimingReader struct {
-	source io.Reader
-	claim  func(unit.Bytes) error
-	read   unit.Bytes
-}
+type readerFunc func(p []byte) (int, error)
 
-// Read reads from the source.
-func (r *claimingReader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	r.read += unit.Bytes(n)
-	if claimErr := r.claim(r.read); claimErr != nil {
-		return 0, claimErr
-	}
-	return n, err
-}
+// Read calls the function.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
 // missing returns the memory that has to be claimed for an answer of a size.
 func (a *Answerclaimer) missing(size unit.Bytes) unit.Bytes {
--- a/internal/answerclaimer/answerclaimer_test.go
+++ b/internal/answerclaimer/answerclaimer_test.go
@@ -31,7 +31,7 @@
 	g.Expect(first.Reserve(4 << 10)).To(Succeed())
 	g.Expect(m.Used()).To(BeZero())
 	g.Expect(first.Hold(t.Context(), 4<<10+1)).To(BeTrue())
-	g.Expect(first.Hold(t.Context(), 8<<10)).To(BeFalse())
+	g.Expect(first.Hold(t.Context(), 5<<10)).To(BeFalse())
 	g.Expect(first.Hold(t.Context(), 32<<10)).To(BeTrue())
 	g.Expect(m.Used()).To(BeEquivalentTo(64 << 10))
 	g.Expect(failure.From(second.Reserve(5 << 10)).NotRun).To(BeTrue())
--- a/internal/connectionlimiter/conn.go
+++ b/internal/connectionlimiter/conn.go
@@ -309,6 +309,7 @@
 	return written, nil
 }
 
+// awaitRoom claims the memory of an answer of n bytes, for which it may wait.
 func (c *conn) awaitRoom(n unit.Bytes) error {
 	ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
 	defer cancel()
