entrytest: let the VMs choose their ports

No test picks a port any more: the VMs bind port 0, and the tests read the addresses from the first line of the log.

--- a/internal/entrytest/entry_test.go
+++ b/internal/entrytest/entry_test.go
@@ -142,24 +142,45 @@
 // deployments.
 const propagationLimit = 2500 * time.Millisecond
 
-// freeAddress returns a loopback address whose port was free at the time of the
-// call.
-func freeAddress(g *WithT) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { g.Expect(l.Close()).To(Succeed()) }()
-	return netip.MustParseAddrPort(l.Addr().String())
+// anyAddress lets the system choose a port of the loopback interface when a VM binds it.
+var anyAddress = netip.MustParseAddrPort("127.0.0.1:0")
+
+// bound returns settings with the addresses that their VM has bound, which the first line
+// of its log has.
+func (d *deployment) bound(g *WithT, s settings.Settings) settings.Settings {
+	var started struct {
+		VM        ident.VMID     `json:"vm"`
+		Message   string         `json:"message"`
+		Requests  netip.AddrPort `json:"request_address"`
+		Readiness netip.AddrPort `json:"readiness_address"`
+		Directory netip.AddrPort `json:"directory_address"`
+		Metrics   netip.AddrPort `json:"metrics_address"`
+		Peers     netip.AddrPort `json:"peer_address"`
+	}
+	for line := range strings.Lines(d.log.recentLines()) {
+		if !strings.Contains(line, `"message":"started"`) {
+			continue
+		}
+		g.Expect(json.Unmarshal([]byte(line), &started)).To(Succeed())
+		if started.VM == s.VM {
+			s.PeerAddress, s.MetricsAddress = started.Peers, started.Metrics
+			s.Ingress.Requests, s.Ingress.Readiness, s.Ingress.Directory = started.Requests, started.Readiness, started.Directory
+		}
+	}
+	g.Expect(s.Ingress.Requests.Port()).NotTo(BeZero(), "the log has the bound addresses of %s", s.VM)
+	return s
 }
 
 func (d *deployment) startVM(g *WithT, name string) {
 	s := settings.Settings{
 		VM: ident.VMID(name), Domain: "domain", Region: "region", Regions: map[ident.Domain]ident.Region{"domain": "region"},
-		PeerAddress: freeAddress(g), MetricsAddress: freeAddress(g),
-		Ingress:  settings.Ingress{Requests: freeAddress(g), Readiness: freeAddress(g), Directory: freeAddress(g), Grace: d.grace, DrainLimit: propagationLimit, RoutesLimit: propagationLimit, RevocationLimit: d.revocationLimit},
+		PeerAddress: anyAddress, MetricsAddress: anyAddress,
+		Ingress:  settings.Ingress{Requests: anyAddress, Readiness: anyAddress, Directory: anyAddress, Grace: d.grace, DrainLimit: propagationLimit, RoutesLimit: propagationLimit, RevocationLimit: d.revocationLimit},
 		Platform: settings.Platform{StoreAddress: netip.MustParseAddrPort(d.store.Listener.Addr().String())},
 	}
 	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(d.log))
 	g.Expect(err).NotTo(HaveOccurred())
+	s = d.bound(g, s)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{settings: s, stop: stop, done: make(chan error, 1)}
 	go func() { v.done <- node.Run(ctx) }()
--- a/internal/entrytest/interfaces_test.go
+++ b/internal/entrytest/interfaces_test.go
@@ -38,8 +38,8 @@
 	defer d.close(g)
 	s := d.vms[0].settings
 	s.VM = "vm-both"
-	s.PeerAddress, s.MetricsAddress = freeAddress(g), freeAddress(g)
-	s.Ingress.Requests, s.Ingress.Readiness, s.Ingress.Directory = freeAddress(g), freeAddress(g), freeAddress(g)
+	s.PeerAddress, s.MetricsAddress = anyAddress, anyAddress
+	s.Ingress.Requests, s.Ingress.Readiness, s.Ingress.Directory = anyAddress, anyAddress, anyAddress
 	s.CallerAddress = netip.MustParseAddrPort("127.0.0.1:0")
 	s.Accounts = []settings.Account{{Token: "operator-token-0123", Account: chain.Account{ID: "olive", Team: "desk", Role: chain.Operator}}}
 	s.Freshness = settings.Freshness{Configuration: 5 * time.Second, Upstreams: 5 * time.Second, Interval: 200 * time.Millisecond}
@@ -50,6 +50,7 @@
 	}
 	node, err := sassafrasspur.New(sassafrasspur.WithSettings(s), sassafrasspur.WithLog(d.log))
 	g.Expect(err).NotTo(HaveOccurred())
+	s = d.bound(g, s)
 	ctx, stop := context.WithCancel(context.Background())
 	v := &vm{settings: s, stop: stop, done: make(chan error, 1)}
 	go func() { v.done <- node.Run(ctx) }()
