turnrecorder: spread the returns of callers that must restart a turn

The loss of a VM breaks many turns at once, and all their callers were told to return after the same 0.1 s. They now return after 0.1 to 0.3 s. No measurement: no known configuration has such routes.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -96,15 +97,18 @@
 	return err
 }
 
-// restartDelay is the retry delay sent to a caller that must send its turn again from its
-// start, which needs no wait.
-const restartDelay = 100 * time.Millisecond
+// minRestartDelay and restartSpread give the retry delay of a caller that must send its turn
+// again from its start. It need not wait, but the loss of a VM affects many at once.
+const (
+	minRestartDelay = 100 * time.Millisecond
+	restartSpread   = 200 * time.Millisecond
+)
 
 // checkRetained refuses a turn that could not be stored whole, before it runs.
 func checkRetained(x *traffic.Exchange) error {
 	if x.Request.LastEventID > 0 {
 		// The beginning of the answer is known to the caller alone.
-		return failure.Refusal(failure.NotResumable, restartDelay,
+		return failure.Refusal(failure.NotResumable, minRestartDelay+rand.N(restartSpread),
 			"a turn that is kept can't be resumed after event %d; send it again from its start", x.Request.LastEventID)
 	}
 	if len(x.Request.Body) > ledger.MaxTextBytes {
