memorylimiter: show how many answers wait for memory

An operator could not tell answers that wait for memory from a slow upstream. The gauge sassafrasspur_answers_awaiting_memory shows them; TestAnswersShareMemory checks its source.

--- a/callers.go
+++ b/callers.go
@@ -44,7 +44,8 @@
 	limits := n.settings.CallerLimits()
 	n.requestMemory = memorylimiter.New(limits.RequestMemory, limits.ReservedMemory, limits.SmallRequest, n.timers, rand.Float64)
 	n.refusals = refusalreporter.New(n.log.Zerolog(), n.meter, n.timers)
-	n.meter.ObserveRequestMemory(func() float64 { return float64(n.requestMemory.Used()) })
+	n.meter.ObserveRequestMemory(
+		func() float64 { return float64(n.requestMemory.Used()) }, func() float64 { return float64(n.requestMemory.Waiting()) })
 }
 
 // serve starts an HTTP server on a listener; it runs until it is closed.
--- a/internal/answerclaimer/answerclaimer_test.go
+++ b/internal/answerclaimer/answerclaimer_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -37,8 +36,15 @@
 	g.Expect(failure.From(second.Reserve(5 << 10)).NotRun).To(BeTrue())
 	_, err := second.Hold(ended, 5<<10)
 	g.Expect(failure.From(err).NotRun).To(BeFalse())
-	time.AfterFunc(10*time.Millisecond, first.Return)
-	g.Expect(second.Hold(t.Context(), 5<<10)).To(BeTrue())
+	held := make(chan bool, 1)
+	go func() {
+		grown, err := second.Hold(t.Context(), 5<<10)
+		held <- grown && err == nil
+	}()
+	g.Eventually(m.Waiting).Should(BeEquivalentTo(1))
+	first.Return()
+	g.Eventually(held).Should(Receive(BeTrue()))
+	g.Expect(m.Waiting()).To(BeZero())
 	second.Return()
 	g.Expect(m.Used()).To(BeZero())
 }
--- a/internal/memorylimiter/memorylimiter.go
+++ b/internal/memorylimiter/memorylimiter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sassafrasspur/sassafrasspur/internal/evictor"
@@ -44,6 +45,8 @@
 	// returned is closed and replaced when memory is returned, if a request waits for it.
 	returned chan struct{}
 	awaited  bool
+
+	waiting atomic.Int64
 }
 
 // New returns a Memorylimiter for total bytes, of which large requests leave reserved
@@ -56,6 +59,9 @@
 	}
 }
 
+// Waiting returns the number of answers that wait for memory.
+func (m *Memorylimiter) Waiting() int64 { return m.waiting.Load() }
+
 // Claim is the memory of one request at a time, such as of those of one connection.
 type Claim struct {
 	limiter *Memorylimiter
@@ -109,6 +115,8 @@
 // Await adds n bytes to the claim as soon as there is room. The error is a refusal, after
 // the end of the context or because the request was dropped.
 func (c *Claim) Await(ctx context.Context, n unit.Bytes) error {
+	c.limiter.waiting.Add(1)
+	defer c.limiter.waiting.Add(-1)
 	for {
 		err := c.Grow(n)
 		if err == nil || c.isDropped() {
--- a/internal/meter/callers.go
+++ b/internal/meter/callers.go
@@ -8,7 +8,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafrasspur_refused_callers_total{reason="%s"}`, reason)).Inc()
 }
 
-// ObserveRequestMemory sets the function that returns the bytes that are held for requests.
-func (m *Meter) ObserveRequestMemory(bytes func() float64) {
+// ObserveRequestMemory sets the functions that return the bytes that are held for requests
+// and their answers, and the number of answers that wait for memory.
+func (m *Meter) ObserveRequestMemory(bytes, waiting func() float64) {
 	m.set.NewGauge("sassafrasspur_request_memory_bytes", bytes)
+	m.set.NewGauge("sassafrasspur_answers_awaiting_memory", waiting)
 }
