--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -41,12 +41,13 @@
 	reader *bufio.Reader
 }
 
-func dial(address string) (*channel, error) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+// dial opens a channel to a machine, over the machine's link.
+func dial(v *vm) (*channel, error) {
+	conn, err := net.DialTimeout("tcp", v.requests, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &channel{conn, bufio.NewReader(conn)}, nil
+	return &channel{linkConn{conn, &v.clients}, bufio.NewReader(conn)}, nil
 }
 
 // host is the host of all routes.
@@ -78,7 +79,7 @@
 
 // once sends a request on a new channel.
 func (l *lab) once(v *vm, a attempt) reply {
-	c, err := dial(v.requests)
+	c, err := dial(v)
 	if err != nil {
 		return reply{err: err}
 	}
--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -1,6 +1,10 @@
 package main
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
 
 // Names of the deployment. Pools and routes are those of a small one: an engine pool for
 // chats and a service for the permit counter.
@@ -68,3 +72,15 @@
 
 // sound returns the behaviour of sound replicas.
 func sound(acts behaviour) func(int) behaviour { return func(int) behaviour { return acts } }
+
+// turn returns an attempt of a turn.
+func turn(id, program, previous, body string, prompt int) attempt {
+	header := map[string]string{
+		"X-Model": "m", "X-Program-Id": program, "X-Session-Id": "s" + program, "X-Program-Deadline-Ms": "20000",
+		"X-Token-Budget": "100000", "X-Token-Usage": fmt.Sprintf("%d,16", prompt), "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,%s:%d", "91bd3f06", max(prompt-800, 1)),
+	}
+	if previous != "" {
+		header["X-Previous-Turn"] = previous
+	}
+	return attempt{id: id, method: http.MethodPost, path: chatPath + "2f", header: header, body: body, limit: 6 * time.Second}
+}
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -21,7 +21,6 @@
 	dir     string
 	started time.Time
 	store   *store
-	address string
 	vms     []*vm
 
 	mu      sync.Mutex
@@ -46,8 +45,7 @@
 		sent: map[string]int{}, runs: map[string][]string{}, crashes: map[string][]time.Time{},
 	}
 	l.store.onTooLarge = func(bytes int) { l.record("store", "413 to a transaction of %d bytes", bytes) }
-	l.address, err = l.store.serve()
-	return l, err
+	return l, nil
 }
 
 // close ends all processes and removes the temporary folder.
--- a/review/lab3/long_turn.go
+++ b/review/lab3/long_turn.go
@@ -50,7 +50,7 @@
 func (l *lab) sendLongTurns(turns, size int) (none, cut, served int, err error) {
 	v := l.vms[0]
 	for i := range turns {
-		kept, err := dial(v.requests)
+		kept, err := dial(v)
 		if err != nil {
 			return none, cut, served, errors.Join(errCannotRun, err)
 		}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -18,7 +18,6 @@
 var plays = map[string]play{
 	"extra-refusal":  playExtraRefusal,
 	"deadly-request": playDeadlyRequest,
-	"long-histories": playLongHistories,
 	"long-turn":      playLongTurn,
 	"many-parts":     playManyParts,
 	"two-callers":    playTwoCallers,
--- a/review/lab3/store.go
+++ b/review/lab3/store.go
@@ -63,7 +63,7 @@
 	return &store{started: time.Now(), rows: map[rowID]row{}, removed: map[rowID]uint64{}, changed: make(chan struct{}), onTooLarge: func(int) {}}
 }
 
-// serve serves the store on a free port and returns its address.
+// serve serves the store to one machine, over the machine's link, and returns its address.
 func (s *store) serve() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,7 +74,7 @@
 	mux.HandleFunc("GET /api/rows-get", s.serveRead)
 	mux.HandleFunc("GET /api/rows-parts", s.serveParts)
 	mux.HandleFunc("GET /api/rows-feed", s.serveFeed)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(linkListener{listener, &link{}}, mux) }()
 	return listener.Addr().String(), nil
 }
 
--- a/review/lab3/vm.go
+++ b/review/lab3/vm.go
@@ -23,6 +23,8 @@
 	name, zone, file    string
 	requests, readiness string
 	memoryMB            int
+	// clients paces what clients send.
+	clients link
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -66,8 +68,12 @@
 	if err != nil {
 		return nil, err
 	}
+	storeAddress, err := l.store.serve()
+	if err != nil {
+		return nil, err
+	}
 	v := &vm{lab: l, name: name, zone: zone, requests: ports[2], readiness: ports[3], memoryMB: memoryMB, file: filepath.Join(l.dir, name+".toml")}
-	text := fmt.Sprintf(settings, name, zone, regions[zone], ports[0], ports[1], memoryMB, l.address, ports[2], ports[3], ports[4])
+	text := fmt.Sprintf(settings, name, zone, regions[zone], ports[0], ports[1], memoryMB, storeAddress, ports[2], ports[3], ports[4])
 	if err := os.WriteFile(v.file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
