ledger: store turns that exceed one transaction

Cause: an input of up to 1 MiB was admitted, although the store accepts 1 MB a transaction in base64. At exactly 1 MiB the first event exceeded the bound on input and output; from about 700 KB on the store refused the transaction until the time for it was over (413 in the record of the case, 10 times a turn). The stand-in of the store had no limits, so that no test could see it.

A text of more than 640 KiB is now written by several transactions, those of the input while the turn runs. Histories are read by one response of the store at a time, after their memory was claimed, since long turns make long histories. Outputs have a bound of their own, 4 MiB. The stand-in refuses what the store refuses.

Before, TestLongTurnIsKept failed on the old code with the limits of the stand-in: "the turn could not be stored: the platform's store refused the request". TestTurnTooLongToStore asked for the refusal of a legal input; TestOutputTooLongToStore and TestHistoryWithoutMemory bound what it bounded. TestCachedTurns counts three reads in place of one for a program of 4,000 rows, which took nine responses of the store before.

--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -18,6 +18,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/granter"
 	"github.com/sassafrasspur/sassafrasspur/internal/ledger"
+	"github.com/sassafrasspur/sassafrasspur/internal/memorylimiter"
 	"github.com/sassafrasspur/sassafrasspur/internal/routing"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/internal/traffic"
@@ -70,11 +71,12 @@
 		if err := checkRetained(x); err != nil {
 			return err
 		}
-		if err := memory.Reserve(expectedOutput(x.Request.Prompt)); err != nil {
+		if err := reserve(ctx, memory, x); err != nil {
 			return err
 		}
 	}
-	grant, history, err := t.prepare(ctx, x, turn, stream.Retained)
+	historyMemory := answerclaimer.New(ctx, answerclaimer.WithCopies(historyCopies))
+	grant, history, err := t.prepare(ctx, x, turn, stream.Retained, claimHistory(ctx, historyMemory))
 	x.Trace.PrepareDuration = t.timers.Now().Sub(x.Arrived)
 	if failure.Is(err, failure.NotFound) {
 		if unsure := t.confirm(ctx, x); unsure != nil {
@@ -87,6 +89,8 @@
 	x.Trace.Holder = grant.Holder
 	x.Placement = placement(x.Request.Program, grant)
 	x.Body = slices.Concat(history, x.Request.Body)
+	// The next filter claims the memory of the composed turn.
+	historyMemory.Return()
 	responder := &turnResponder{
 		Responder: x.Responder, ctx: ctx, exchange: x, ledger: t.ledger, timers: t.timers,
 		turn: turn, retained: stream.Retained, memory: memory,
@@ -111,20 +115,37 @@
 		return failure.Refusal(failure.NotResumable, minRestartDelay+rand.N(restartSpread),
 			"a turn that is kept can't be resumed after event %d; send it again from its start", x.Request.LastEventID)
 	}
-	if len(x.Request.Body) > ledger.MaxTextBytes {
-		return failure.Refusal(failure.TooLarge, 0,
-			"the input of a turn that is kept has more than %d bytes; send a smaller one", ledger.MaxTextBytes)
-	}
 	return nil
 }
 
+// reserve claims the memory for storing a turn, with the output that the caller asks for.
+func reserve(ctx context.Context, output *answerclaimer.Answerclaimer, x *traffic.Exchange) error {
+	if err := output.Reserve(expectedOutput(x.Request.Prompt)); err != nil {
+		return err
+	}
+	stored := min(unit.Bytes(len(x.Request.Body)), ledger.MaxTransactionBytes)
+	return answerclaimer.New(ctx, answerclaimer.WithCopies(transactionCopies)).Reserve(stored)
+}
+
+// claimHistory returns the claim of the memory of a history. A history for which there can
+// never be room is refused for good.
+func claimHistory(ctx context.Context, memory *answerclaimer.Answerclaimer) ledger.Claim {
+	return func(size unit.Bytes) error {
+		if claim := memorylimiter.FromContext(ctx); claim != nil && !claim.CanGrow(historyCopies*size) {
+			return failure.Refusal(failure.TooLarge, 0,
+				"the turns before this one have %d bytes, for which a VM has no memory; start a new session", size)
+		}
+		return memory.Reserve(size)
+	}
+}
+
 // storeTimeDivisor divides the time to the deadline: a turn waits for the store for
 // a third of it, so that a refused caller has time left to retry.
 const storeTimeDivisor = 3
 
 // prepare reserves the tokens of a turn and concurrently reads the history of a
 // retained turn.
-func (t *Turnrecorder) prepare(ctx context.Context, x *traffic.Exchange, turn ledger.Turn, retained bool) (granter.Grant, []byte, error) {
+func (t *Turnrecorder) prepare(ctx context.Context, x *traffic.Exchange, turn ledger.Turn, retained bool, claim ledger.Claim) (granter.Grant, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, x.Deadline.Sub(t.timers.Now())/storeTimeDivisor)
 	defer cancel()
 	var history []byte
@@ -132,7 +153,7 @@
 	if retained {
 		go func() {
 			var err error
-			history, err = t.ledger.History(ctx, turn)
+			history, err = t.ledger.History(ctx, turn, claim)
 			historyRead <- err
 		}()
 	} else {
@@ -182,6 +203,14 @@
 	// outputCopies is the number of copies of the output of a turn: as it grows, as the
 	// text of the turn, and as a transaction in base64.
 	outputCopies = 5
+	// transactionCopies is the number of copies of the input in a transaction in base64, as
+	// it is encoded.
+	transactionCopies = 3
+	// historyCopies is the number of copies of a history: its turns, and as composed.
+	historyCopies = 2
+	// maxOutputBytes bounds the output of a turn, as that of an answer that is no stream. An
+	// upstream may send without end.
+	maxOutputBytes = 4 << 20
 	// tokenBytes is the size of the text of a token, above that of words of the languages
 	// in use.
 	tokenBytes unit.Bytes = 8
@@ -211,6 +240,8 @@
 	status int
 	events int
 	output []byte
+	// recording is nil before the answer begins, and for a turn that is not kept.
+	recording *ledger.Recording
 }
 
 func (r *turnResponder) usedTokens() unit.Tokens {
@@ -226,9 +257,13 @@
 	return r.Responder.Complete(a)
 }
 
-// Begin records the status and sends the head of the stream.
+// Begin records the status and sends the head of the stream. The turn now runs, so that it
+// is no longer refused.
 func (r *turnResponder) Begin(status int, header http.Header) error {
 	r.status = status
+	if r.retained {
+		r.recording = r.ledger.Record(r.ctx, r.turn, r.exchange.Request.Body)
+	}
 	return r.Responder.Begin(status, header)
 }
 
@@ -245,11 +280,11 @@
 }
 
 // keep adds the data of an event to the output. It waits for memory, and fails if the
-// turn has become too long to be stored: an upstream may send without end.
+// output has become too long.
 func (r *turnResponder) keep(data []byte) error {
 	size := len(r.output) + len(data) + len("\n")
-	if text := len(r.exchange.Request.Body) + size; text > ledger.MaxTextBytes {
-		return failure.New(failure.UpstreamFailed, "the input and output of the turn have more than %d bytes and can't be stored", ledger.MaxTextBytes)
+	if size > maxOutputBytes {
+		return failure.New(failure.UpstreamFailed, "the output of the turn has more than %d bytes and is not kept", maxOutputBytes)
 	}
 	if _, err := r.memory.Hold(r.ctx, unit.Bytes(size)); err != nil {
 		return err
@@ -265,7 +300,7 @@
 		return r.Responder.End()
 	}
 	started := r.timers.Now()
-	err := r.ledger.Store(r.ctx, r.turn, r.exchange.Request.Body, r.output)
+	err := r.recording.Store(r.ctx, r.output)
 	r.exchange.Trace.StoreDuration = max(r.timers.Now().Sub(started), time.Nanosecond)
 	if err != nil {
 		return failure.New(failure.NotDurable, "the turn could not be stored: %v; send it again", errors.Cause(err))
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
@@ -16,6 +13,7 @@
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 const (
@@ -29,10 +27,6 @@
 	retryDelay = 1500 * time.Millisecond
 )
 
-// MaxTextBytes is the size of the input and output of a turn above which it can't be
-// stored: a transaction of the platform's store has 1 MB at most.
-const MaxTextBytes = 1 << 20
-
 // Turn identifies a turn and the one that it continues.
 type Turn struct {
 	Program ident.ProgramID
@@ -89,12 +83,15 @@
 	return l
 }
 
+// Claim claims the memory of a history of a size before it is read. Its error is a refusal.
+type Claim func(size unit.Bytes) error
+
 // History returns the text of the turns that a turn continues, the oldest first.
 // While the store is unreachable, History waits for it even if the turns are
 // cached: a turn that can't be stored would have its response cut off. Errors are
 // refusals, of kind not_found if a turn does not exist, and of kind invalid_request if it
-// follows itself.
-func (l *Ledger) History(ctx context.Context, t Turn) ([]byte, error) {
+// follows itself, or that of the claim.
+func (l *Ledger) History(ctx context.Context, t Turn, claim Claim) ([]byte, error) {
 	if !l.unreachable.Load() {
 		if t.Previous == "" {
 			return nil, nil
@@ -107,7 +104,7 @@
 	defer cancel()
 	retries := backoff.New(l.timers)
 	for {
-		history, err := l.tryHistory(ctx, t)
+		history, err := l.tryHistory(ctx, t, claim)
 		var known *failure.Error
 		if err == nil || errors.As(err, &known) {
 			return history, err
@@ -119,52 +116,6 @@
 	}
 }
 
-// tryHistory follows the turns before a turn to the first one. Callers choose the IDs of
-// turns, so that turns of different programs may follow each other in a circle.
-func (l *Ledger) tryHistory(ctx context.Context, t Turn) ([]byte, error) {
-	program, err := l.read(ctx, t.Program)
-	if err != nil {
-		return nil, err
-	}
-	var texts [][]byte
-	followed := map[rows.ID]bool{}
-	for previous := t.Previous; previous != ""; {
-		turn, ok := program.turns[previous]
-		if !ok {
-			if program, err = l.readOwner(ctx, previous); err != nil {
-				return nil, err
-			}
-			turn = program.turns[previous]
-		}
-		if !t.mayContinue(turn.Account) {
-			return nil, notFound(t.Previous)
-		}
-		id := turnID(program.program, previous)
-		if followed[id] {
-			return nil, failure.Refusal(failure.InvalidRequest, 0, "turn %s follows itself; start a new session with other ids", previous)
-		}
-		followed[id] = true
-		text, err := program.text(previous)
-		if err != nil {
-			return nil, err
-		}
-		l.cache.add(Turn{Turn: previous, Previous: turn.Previous, Account: turn.Account}, text)
-		texts = append(texts, text)
-		previous = turn.Previous
-	}
-	slices.Reverse(texts)
-	return slices.Concat(texts...), nil
-}
-
-func (l *Ledger) read(ctx context.Context, p ident.ProgramID) (*programTurns, error) {
-	page, err := l.store.Read(ctx, rows.Range{Table: turnsTable, Part: rows.Partition(p)})
-	l.recordReachability(ctx, err)
-	if err != nil {
-		return nil, err
-	}
-	return newProgramTurns(p, page)
-}
-
 // recordReachability records whether the store was reached. Errors of cancelled
 // calls are ignored, because they say nothing about the store.
 func (l *Ledger) recordReachability(ctx context.Context, err error) {
@@ -226,90 +177,31 @@
 	return failure.Refusal(failure.NotFound, 0, "there is no turn %s, or its retention is over; start a new session", t)
 }
 
-// RowIDs returns the IDs of all rows of a program's turns.
+// RowIDs returns the IDs of all rows of a program's turns. It holds the values of one
+// response of the store at a time.
 func RowIDs(ctx context.Context, store rows.Store, p ident.ProgramID) ([]rows.ID, error) {
-	page, err := store.Read(ctx, rows.Range{Table: turnsTable, Part: rows.Partition(p)})
-	if err != nil {
-		return nil, err
-	}
 	var ids []rows.ID
-	for _, row := range page.Rows {
-		ids = append(ids, row.ID)
-		turn, ok := strings.CutPrefix(string(row.Key), turnPrefix)
-		if !ok {
-			continue
-		}
-		var stored turnRow
-		if err := decode(row, &stored); err != nil {
-			return nil, err
-		}
-		ids = append(ids, indexID(ident.RequestID(turn), stored.Index))
-	}
-	return ids, nil
-}
-
-// Store stores a completed turn. Once it returns nil, every VM can continue the
-// turn. After an error the turn may or may not be stored.
-func (l *Ledger) Store(ctx context.Context, t Turn, input, output []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, l.storeTimeout)
-	defer cancel()
-	write := uuid.NewString()
-	text := slices.Concat(input, output)
-	retries := backoff.New(l.timers)
-	for attempt := 0; ; attempt++ {
-		transaction, err := storeTransaction(t, text, write, attempt%indexParts)
+	unread := rows.Range{Table: turnsTable, Part: rows.Partition(p), OnePage: true}
+	for {
+		page, err := store.Read(ctx, unread)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		outcome, err := l.store.Commit(ctx, transaction)
-		l.recordReachability(ctx, err)
-		if err == nil {
-			if err = checkOwnRow(outcome, turnID(t.Program, t.Turn), write); err == nil {
-				l.cache.add(t, text)
+		for _, row := range page.Rows {
+			ids = append(ids, row.ID)
+			turn, ok := strings.CutPrefix(string(row.Key), turnPrefix)
+			if !ok {
+				continue
+			}
+			var stored turnRow
+			if err := decode(row, &stored); err != nil {
+				return nil, err
 			}
-			return err
+			ids = append(ids, indexID(ident.RequestID(turn), stored.Index))
 		}
-		if !retries.Wait(ctx) {
-			return errors.Annotatef(err, "store turn %s", t.Turn)
+		if !page.Truncated {
+			return ids, nil
 		}
+		unread.From = page.Rows[len(page.Rows)-1].Key.After()
 	}
 }
-
-// checkOwnRow returns an error if a conflict shows that the turn's row has another
-// write ID. The row has the same ID if the response to an earlier attempt was lost.
-func checkOwnRow(outcome rows.Outcome, own rows.ID, write string) error {
-	conflict, ok := outcome.(rows.Conflict)
-	if !ok {
-		return nil
-	}
-	row, ok := rows.Find(conflict.Rows, own)
-	if !ok {
-		return errors.Errorf("row %s of program %s was removed", own.Key, own.Part)
-	}
-	var turn turnRow
-	if err := decode(row, &turn); err != nil {
-		return err
-	}
-	if turn.Write != write {
-		return errors.Errorf("row %s of program %s was written by another request", own.Key, own.Part)
-	}
-	return nil
-}
-
-// storeTransaction returns the transaction that stores a turn, its text and its
-// row in the given part of the index.
-func storeTransaction(t Turn, text []byte, write string, index int) (rows.Transaction, error) {
-	row := turnRow{Previous: t.Previous, Account: t.Account, Index: index, Write: write}
-	var puts []rows.Put
-	for chunk := range slices.Chunk(text, maxChunkBytes) {
-		puts = append(puts, rows.Put{ID: textID(t.Program, t.Turn, row.Chunks), Value: chunk})
-		row.Chunks++
-	}
-	encoded, err := json.Marshal(row)
-	if err != nil {
-		return rows.Transaction{}, errors.Annotatef(err, "encode turn %s", t.Turn)
-	}
-	own := turnID(t.Program, t.Turn)
-	puts = append(puts, rows.Put{ID: own, Value: encoded}, rows.Put{ID: indexID(t.Turn, index), Value: []byte(t.Program)})
-	return rows.Transaction{Conditions: []rows.Condition{{ID: own}}, Puts: puts}, nil
-}
--- a/internal/ledger/recent.go
+++ b/internal/ledger/recent.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"slices"
 	"time"
 
@@ -44,9 +43,9 @@
 }
 
 // add caches a stored turn, unless its text and ids are too long.
-func (c turnCache) add(t Turn, text []byte) {
-	if len(text)+len(t.Turn)+len(t.Previous)+len(t.Account) <= maxCachedTurnBytes {
-		c.turns.Add(t.Turn, cachedTurn{previous: t.Previous, account: t.Account, text: bytes.Clone(text), at: c.timers.Now()})
+func (c turnCache) add(t Turn, input, output []byte) {
+	if len(input)+len(output)+len(t.Turn)+len(t.Previous)+len(t.Account) <= maxCachedTurnBytes {
+		c.turns.Add(t.Turn, cachedTurn{previous: t.Previous, account: t.Account, text: slices.Concat(input, output), at: c.timers.Now()})
 	}
 }
 
--- a/internal/ledger/rows.go
+++ b/internal/ledger/rows.go
@@ -9,6 +9,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
+	"github.com/sassafrasspur/sassafrasspur/unit"
 )
 
 const (
@@ -24,20 +25,32 @@
 )
 
 const (
-	// turnPrefix is the key prefix of turns.
+	// turnPrefix is the key prefix of turns, and turnEnd the key after the last one.
 	turnPrefix = "turn/"
+	turnEnd    = "turn0"
 	// maxChunkBytes bounds the text in one row. Rows hold 64 KiB, of which base64
 	// encoding leaves 48 KiB.
 	maxChunkBytes = 40 << 10
+	// maxChunks bounds the chunks in one transaction. The store accepts 1 MB, of which
+	// their base64 encoding takes 0.87 MB.
+	maxChunks = 16
 )
 
+// MaxTransactionBytes is the size of the text that one transaction holds.
+const MaxTransactionBytes unit.Bytes = maxChunks * maxChunkBytes
+
 // turnRow is the stored form of a turn.
 type turnRow struct {
 	Previous ident.RequestID `json:"previous,omitempty"`
 	// Account is the client account of the turn, empty if it has none.
 	Account ident.AccountID `json:"account,omitempty"`
-	// Chunks is the number of rows with the turn's text.
+	// Chunks is the number of rows with the turn's text, and Bytes its size, 0 in a row of
+	// an older version.
 	Chunks int `json:"chunks"`
+	Bytes  int `json:"bytes,omitempty"`
+	// Split is true if several transactions wrote the text. The keys of its rows then have
+	// the ID of the write, so that two writers of a turn don't mix their texts.
+	Split bool `json:"split,omitempty"`
 	// Index is the number of the part that has the turn's index row.
 	Index int `json:"index,omitempty"`
 	// Write is the ID of the write, by which a writer recognizes its own row after
@@ -49,8 +62,35 @@
 	return rows.ID{Table: turnsTable, Part: rows.Partition(p), Key: rows.Key(turnPrefix + string(t))}
 }
 
-func textID(p ident.ProgramID, t ident.RequestID, chunk int) rows.ID {
-	return rows.ID{Table: turnsTable, Part: rows.Partition(p), Key: rows.Key(fmt.Sprintf("text/%s/%04d", t, chunk))}
+// textID returns the ID of a row of a turn's text. The write is empty unless the text is
+// split.
+func textID(p ident.ProgramID, t ident.RequestID, write string, chunk int) rows.ID {
+	key := fmt.Sprintf("text/%s/%04d", t, chunk)
+	if write != "" {
+		key = fmt.Sprintf("text/%s/%s/%04d", t, write, chunk)
+	}
+	return rows.ID{Table: turnsTable, Part: rows.Partition(p), Key: rows.Key(key)}
+}
+
+// textKeys returns the keys of a turn's text in order.
+func (r turnRow) textKeys(p ident.ProgramID, t ident.RequestID) []rows.Key {
+	write := ""
+	if r.Split {
+		write = r.Write
+	}
+	keys := make([]rows.Key, r.Chunks)
+	for chunk := range keys {
+		keys[chunk] = textID(p, t, write, chunk).Key
+	}
+	return keys
+}
+
+// textBytes returns the size of a turn's text, or a bound of it.
+func (r turnRow) textBytes() unit.Bytes {
+	if r.Bytes > 0 {
+		return unit.Bytes(r.Bytes)
+	}
+	return unit.Bytes(r.Chunks * maxChunkBytes)
 }
 
 // indexID returns the ID of a turn's index row in the given part.
@@ -71,6 +111,8 @@
 	program ident.ProgramID
 	turns   map[ident.RequestID]turnRow
 	texts   map[rows.Key][]byte
+	// partial is true if the texts were not read with the turns.
+	partial bool
 }
 
 // newProgramTurns decodes the rows of a program.
@@ -94,10 +136,10 @@
 // text returns the text of a turn.
 func (p *programTurns) text(t ident.RequestID) ([]byte, error) {
 	var text []byte
-	for chunk := range p.turns[t].Chunks {
-		part, ok := p.texts[textID(p.program, t, chunk).Key]
+	for i, key := range p.turns[t].textKeys(p.program, t) {
+		part, ok := p.texts[key]
 		if !ok {
-			return nil, errors.Errorf("chunk %d of the text of turn %s is missing in program %s", chunk, t, p.program)
+			return nil, errors.Errorf("chunk %d of the text of turn %s is missing in program %s", i, t, p.program)
 		}
 		text = append(text, part...)
 	}
--- a/internal/memorylimiter/memorylimiter.go
+++ b/internal/memorylimiter/memorylimiter.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// CanGrow reports whether there is room for n more bytes while no other request has any.
+func (c *Claim) CanGrow(n unit.Bytes) bool {
+	limits := c.limiter.limits
+	held := c.held() + n
+	return held <= limits.Small || held <= limits.Total-limits.Reserved
+}
+
 // Await adds n bytes to the claim as soon as there is room. The error is a refusal, after
 // the end of the context or because the request was dropped.
 func (c *Claim) Await(ctx context.Context, n unit.Bytes) error {
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -63,6 +63,8 @@
 	Part  Partition
 	From  Key
 	To    Key
+	// OnePage limits the read to one response of the store.
+	OnePage bool
 }
 
 // Page is the result of a read, as of one point in time.
@@ -72,8 +74,13 @@
 	Removed []ID
 	Version Version
 	Clock   Clock
+	// Truncated is true if a read of one page left out further rows of the range.
+	Truncated bool
 }
 
+// After returns the smallest key that follows a key.
+func (k Key) After() Key { return k + "\x00" }
+
 // Outcome is the result of a transaction. The interface is sealed: only types of
 // this package implement it.
 type Outcome interface{ outcome() }
--- a/internal/standin/rowserver/rowserver.go
+++ b/internal/standin/rowserver/rowserver.go
@@ -108,12 +108,14 @@
 	q := r.URL.Query()
 	page, err := s.store.Read(r.Context(), rows.Range{
 		Table: rows.Table(q.Get("table")), Part: rows.Partition(q.Get("part")), From: rows.Key(q.Get("from")), To: rows.Key(q.Get("to")),
+		OnePage: true,
 	})
 	if err != nil {
 		writeStoreError(w, err)
 		return
 	}
 	answer := toWirePage(page)
+	answer.Truncated = page.Truncated
 	if limit, err := strconv.Atoi(q.Get("limit")); err == nil && limit < len(answer.Rows) {
 		answer.Rows, answer.Truncated = answer.Rows[:limit], true
 	}
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -126,8 +126,12 @@
 	s.removed = map[rows.ID]rows.Version{}
 }
 
-// Commit applies a transaction if all its conditions hold.
+// Commit applies a transaction if all its conditions hold. It refuses one that exceeds the
+// limits of the platform's store.
 func (s *Rowstore) Commit(_ context.Context, t rows.Transaction) (rows.Outcome, error) {
+	if err := checkLimits(t); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
@@ -186,6 +190,9 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Key, b.Key) })
+	if r.OnePage {
+		page.Rows, page.Truncated = firstPage(page.Rows)
+	}
 	return page, nil
 }
 
