namer: name rows after any id that callers choose

A turn whose X-Attempt-Id has more than about 150 bytes ran and was cut, since the store accepts names of 200 bytes; a program with such an id got no budget, and its entry in the list of used programs made the store refuse those of up to 89 programs of other callers with it, again at each interval, so that their rows were never removed. Ids with bytes beyond ASCII shared their rows, since JSON replaces what is no UTF-8.

Ids that are longer, or not plain ASCII, are replaced by their hash in the names of rows. The header is passed on as it came.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/backoff"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
+	"github.com/sassafrasspur/sassafrasspur/internal/namer"
 	"github.com/sassafrasspur/sassafrasspur/internal/rows"
 	"github.com/sassafrasspur/sassafrasspur/internal/timer"
 	"github.com/sassafrasspur/sassafrasspur/unit"
@@ -39,6 +40,13 @@
 	AccountsIgnored bool
 }
 
+// named returns the turn with the ids by which the store's rows are named.
+func (t Turn) named() Turn {
+	t.Program = ident.ProgramID(namer.Name(string(t.Program)))
+	t.Turn, t.Previous = ident.RequestID(namer.Name(string(t.Turn))), ident.RequestID(namer.Name(string(t.Previous)))
+	return t
+}
+
 // mayContinue reports whether the turn may continue one of an account. Turns without an
 // account may be continued by all, as before accounts were configured.
 func (t Turn) mayContinue(account ident.AccountID) bool {
@@ -92,6 +100,7 @@
 // refusals, of kind not_found if a turn does not exist, and of kind invalid_request if it
 // follows itself, or that of the claim.
 func (l *Ledger) History(ctx context.Context, t Turn, claim Claim) ([]byte, error) {
+	t = t.named()
 	if !l.unreachable.Load() {
 		if t.Previous == "" {
 			return nil, nil
--- a/internal/ledger/long_test.go
+++ b/internal/ledger/long_test.go
@@ -132,3 +132,22 @@
 	g.Expect(err).To(MatchError(failure.Overloaded))
 	g.Expect(store.largest).To(BeNumerically("<=", 1_000_000))
 }
+
+// TestIDsOfCallers guards against turns that have run and can't be stored, because the
+// store accepts no row with their id in its name, and against ids that share their rows.
+func TestIDsOfCallers(t *testing.T) {
+	g := NewWithT(t)
+	ctx, store := context.Background(), rowstore.New()
+	long := ident.RequestID(strings.Repeat("x", 5000))
+	var previous ident.RequestID
+	for _, id := range []ident.RequestID{long, long + "y", "\xff", "\xfe", "é"} {
+		turn := ledger.Turn{Program: ident.ProgramID(long), Turn: id, Previous: previous}
+		g.Expect(ledger.New(store, timer.New()).Store(ctx, turn, []byte(id), nil)).To(Succeed())
+		previous = id
+	}
+	for program, l := range map[ident.ProgramID]*ledger.Ledger{"other": ledger.New(store, timer.New()), ident.ProgramID(long): ledger.New(store, timer.New())} {
+		history, err := l.History(ctx, ledger.Turn{Program: program, Turn: "next", Previous: previous}, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(history)).To(Equal(string(long + long + "y\xff\xfeé")))
+	}
+}
--- a/internal/ledger/recording.go
+++ b/internal/ledger/recording.go
@@ -31,7 +31,7 @@
 // turn takes no longer than for a short one. Their rows are removed with those of the
 // program if the turn is not stored. The context is that of the request.
 func (l *Ledger) Record(ctx context.Context, t Turn, input []byte) *Recording {
-	r := &Recording{ledger: l, turn: t, input: input, write: uuid.NewString(), ahead: make(chan struct{})}
+	r := &Recording{ledger: l, turn: t.named(), input: input, write: uuid.NewString(), ahead: make(chan struct{})}
 	chunks := slices.Collect(slices.Chunk(input, maxChunkBytes))
 	if len(chunks) <= maxChunks {
 		close(r.ahead)
--- a/internal/standin/rowstore/limits.go
+++ b/internal/standin/rowstore/limits.go
@@ -12,6 +12,7 @@
 const (
 	maxEntries    = 100
 	maxCallBytes  = 1_000_000
+	maxNameBytes  = 200
 	maxRowBytes   = 64 << 10
 	maxPageRows   = 500
 	maxPageBytes  = 1_000_000
@@ -25,6 +26,9 @@
 	count := func(id rows.ID, value []byte) {
 		encoded := base64.StdEncoding.EncodedLen(len(value))
 		size += entryOverhead + len(id.Table) + len(id.Part) + len(id.Key) + encoded
+		if max(len(id.Table), len(id.Part), len(id.Key)) > maxNameBytes {
+			tooLong = errors.Annotatef(rows.ErrUnavailable, "status 400: a name of a row has more than %d bytes", maxNameBytes)
+		}
 		if encoded > maxRowBytes {
 			tooLong = errors.Annotatef(rows.ErrUnavailable, "status 413: a row of %d bytes; at most %d are stored", encoded, maxRowBytes)
 		}
