enroller: remove old rows of VMs within the limits of a transaction

From 50 rows of VMs on that were away for ten minutes, every VM wrote its own row with more entries than the store accepts (100), was refused each time, and after 4.5 s no VM was listed to callers.

A write now removes 40 rows at most; the next ones remove the rest.

TestManyOldRows failed before: "status 400: 242 entries; a transaction has at most 100".

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -44,6 +44,9 @@
 	restartRetention = recentRetention - 10*time.Second
 	// removeAfter is the age after which other VMs remove a row.
 	removeAfter = 10 * time.Minute
+	// maxRemovals is the number of rows that are removed with one write, of two entries
+	// each. The store accepts 100, and refuses the VM's own row with too many others.
+	maxRemovals = 40
 )
 
 // Enroller maintains this VM's row and the list of members.
@@ -176,6 +179,9 @@
 		}
 		switch {
 		case err != nil || age > removeAfter:
+			if len(removals.Removes) == maxRemovals {
+				continue
+			}
 			removals.Conditions = append(removals.Conditions, rows.Condition{ID: row.ID, Version: row.Version})
 			removals.Removes = append(removals.Removes, row.ID)
 		case age <= rowLifetimeIntervals*e.interval:
