traffic: recognize a request that crashes upstreams by its account, too

Cause: the fingerprints of a request had its host, method, target and body, and not its account. Each answer to the other account cleared the suspect and, by its target, kept crashes from being counted; had it been quarantined, the other account would have been refused with it.

The account is now a part of both fingerprints, for requests with a body and without one, for streams and for trials, which have one fingerprint each.

--- a/internal/crashcounter/crashcounter.go
+++ b/internal/crashcounter/crashcounter.go
@@ -10,10 +10,10 @@
 // evidence against their request. A few times, a quarantined request is passed on after
 // a pause, so that an answer can clear it.
 //
-// A repeat may have another body, since the prompt of a later turn begins with that of
-// an earlier one. It is recognized by its target alone, unless requests with the same
-// target are answered: where many requests share a target, only those with the same
-// body count as repeats.
+// A repeat has the account, target and body of the first copy. It may also have another
+// body, since the prompt of a later turn begins with that of an earlier one. It is then
+// recognized by its account and target alone, unless requests with both are answered:
+// where many requests share a target, only those with the same body count as repeats.
 package crashcounter
 
 import (
--- a/internal/filter/forwarder/crash.go
+++ b/internal/filter/forwarder/crash.go
@@ -28,7 +28,7 @@
 	answer, err := f.control.Ask(context.WithoutCancel(ctx), func(t ident.Ticket) message.Message {
 		return message.UpstreamCrashed{
 			Ticket: t, Request: f.x.Request.ID, Upstream: crashed.ID, Incarnation: crashed.Incarnation, SentAt: sentAt, CrashedAt: crashedAt,
-			Target: f.x.Request.TargetFingerprint(), Contents: f.x.Fingerprint(),
+			Target: f.x.TargetFingerprint(), Contents: f.x.Fingerprint(),
 		}
 	})
 	if err != nil {
--- a/internal/filter/forwarder/forwarder.go
+++ b/internal/filter/forwarder/forwarder.go
@@ -165,7 +165,7 @@
 func (f *forwarding) withhold(chosen outcome.UpstreamChosen, reason error) error {
 	f.control.Post(message.CallEnded{
 		Ticket: f.ticket, Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
-		Target: f.x.Request.TargetFingerprint(), Result: message.UpstreamAbandoned{},
+		Target: f.x.TargetFingerprint(), Result: message.UpstreamAbandoned{},
 	})
 	if f.sent > 0 {
 		return failure.New(failure.UpstreamFailed, "%v; the request may have run", reason)
@@ -223,7 +223,7 @@
 	}
 	f.control.Post(message.CallEnded{
 		Ticket: f.ticket, Upstream: chosen.Upstream.ID, Incarnation: chosen.Upstream.Incarnation, Route: f.x.Route.ID,
-		Target: f.x.Request.TargetFingerprint(), Result: result, Progress: f.progress.unreported, Answer: f.progress.answer(result),
+		Target: f.x.TargetFingerprint(), Result: result, Progress: f.progress.unreported, Answer: f.progress.answer(result),
 	})
 	if crashed && f.reportCrash(ctx, chosen.Upstream, started, ended) {
 		return finished{failure.New(failure.UpstreamFailed, "upstreams crash while they have this request; it may have run")}
--- a/internal/filter/forwarder/poison_test.go
+++ b/internal/filter/forwarder/poison_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 
 	"github.com/sassafrasspur/sassafrasspur/ident"
 	"github.com/sassafrasspur/sassafrasspur/internal/balancer"
+	"github.com/sassafrasspur/sassafrasspur/internal/clientaccount"
 	"github.com/sassafrasspur/sassafrasspur/internal/crashcounter"
 	"github.com/sassafrasspur/sassafrasspur/internal/executor"
 	"github.com/sassafrasspur/sassafrasspur/internal/failure"
@@ -60,6 +62,10 @@
 	eventPause   = 30 * time.Millisecond
 )
 
+// soundAccount is the account for which all requests are sound, and poisonAccount that for
+// which those with the same bodies are poisonous.
+const soundAccount, poisonAccount ident.AccountID = "sound", "poison"
+
 // poisonFleet is a set of upstreams that end when they run a poisonous request.
 type poisonFleet struct {
 	start time.Time
@@ -89,7 +95,7 @@
 
 // Call runs a call until it is done or its upstream ends.
 func (f *poisonFleet) Call(_ context.Context, c upstream.Call) upstream.Answer {
-	body := string(c.Body)
+	body := cmp.Or(string(c.Body), strings.ReplaceAll(strings.TrimPrefix(c.Target, "/"), "/", " "))
 	f.mu.Lock()
 	u := f.upstreams[c.Upstream.ID]
 	now := time.Since(f.start)
@@ -98,10 +104,11 @@
 		return upstream.Failed{Err: errors.New("connection refused")}
 	}
 	request, _, _ := strings.Cut(body, ",")
+	request += string(c.Account)
 	f.sent[request] = append(f.sent[request], now)
 	ended := u.ended
 	f.mu.Unlock()
-	work, isPoison := limitWork, strings.HasPrefix(body, "poison") && (f.curedAt == 0 || now < f.curedAt)
+	work, isPoison := limitWork, strings.HasPrefix(body, "poison") && c.Account != soundAccount && (f.curedAt == 0 || now < f.curedAt)
 	if isPoison {
 		work = poisonWork
 	}
@@ -223,12 +230,19 @@
 		startVM(i)
 	}
 	var requestID atomic.Int64
-	send := func(vm int, body string) *failure.Error {
-		return failure.From((*chains[vm].Load())(ctx, &traffic.Exchange{
+	send := func(vm int, account ident.AccountID, body string) *failure.Error {
+		x := &traffic.Exchange{
 			Request: traffic.Request{ID: ident.RequestID(fmt.Sprint("request-", requestID.Add(1))), Method: http.MethodPost, Target: target(line, body), Body: input(line, body)}, Body: []byte(body),
 			Pool: "pool", Deadline: time.Now().Add(2 * time.Second),
 			Route: &routing.Route{Kind: kind(line["kind"]), Attempts: 2}, Responder: discardingResponder{},
-		}))
+		}
+		if line.Has("accounts") {
+			x.Account = &clientaccount.Account{ID: account}
+		}
+		if line.Has("no_body") {
+			x.Body, x.Request.Body = nil, nil
+		}
+		return failure.From((*chains[vm].Load())(ctx, x))
 	}
 	var mu sync.Mutex
 	var sent, unserved, quarantined int
@@ -240,11 +254,11 @@
 				time.Sleep(time.Duration(random.ExpFloat64() / line.Float("per_vm") * float64(time.Second)))
 				requests.Go(func() {
 					body := soundBody(line, i, n)
-					err := send(i, body)
+					err := send(i, soundAccount, body)
 					if err != nil {
 						time.Sleep(poisonPause)
 						retry := rand.New(rand.NewPCG(uint64(i), uint64(n)))
-						err = send(retry.IntN(len(chains)), body)
+						err = send(retry.IntN(len(chains)), soundAccount, body)
 					}
 					mu.Lock()
 					defer mu.Unlock()
@@ -260,7 +274,9 @@
 		})
 	}
 	for p := range line.Int("poisons") {
-		load.Go(func() { f.sendPoison(line, p, len(chains), send) })
+		load.Go(func() {
+			f.sendPoison(line, p, len(chains), func(vm int, body string) *failure.Error { return send(vm, poisonAccount, body) })
+		})
 	}
 	load.Go(func() {
 		time.Sleep(poisonRestart)
@@ -306,6 +322,9 @@
 	if line.Has("common_body") {
 		return "sound"
 	}
+	if line.Has("accounts") {
+		return "poison 0"
+	}
 	return fmt.Sprint("sound ", i, " ", n)
 }
 
--- a/internal/filter/quarantiner/quarantiner.go
+++ b/internal/filter/quarantiner/quarantiner.go
@@ -68,7 +68,7 @@
 		return nil
 	}
 	matches := map[ident.Fingerprint]snapshot.Suspect{}
-	for _, f := range []ident.Fingerprint{x.Request.TargetFingerprint(), x.Fingerprint()} {
+	for _, f := range []ident.Fingerprint{x.TargetFingerprint(), x.Fingerprint()} {
 		if suspect, ok := known[f]; ok {
 			matches[f] = suspect
 		}
--- a/internal/filter/reporter/reporter.go
+++ b/internal/filter/reporter/reporter.go
@@ -55,7 +55,7 @@
 		Bool("caller_left", callerLeft).Dur("took_ms", totalTime)
 	r.describe(line, x)
 	if len(x.Trace.Failures) > 0 || failure.Is(err, failure.Quarantined) {
-		line.Str("fingerprint", string(x.Fingerprint())).Str("target_fingerprint", string(x.Request.TargetFingerprint()))
+		line.Str("fingerprint", string(x.Fingerprint())).Str("target_fingerprint", string(x.TargetFingerprint()))
 	}
 	line.Msg("request ended")
 	r.meter.ObserveExchange(class(x), outcome, x.Trace.FirstEvent, totalTime)
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -40,20 +40,6 @@
 	Program *Program
 }
 
-// TargetFingerprint returns a hash of the request's host, method and target.
-func (r *Request) TargetFingerprint() ident.Fingerprint {
-	return ident.Fingerprint(strconv.FormatUint(r.hashTarget().Sum64(), 16))
-}
-
-func (r *Request) hashTarget() *xxhash.Digest {
-	hash := xxhash.New()
-	for _, part := range []string{r.Host, r.Method, r.Target} {
-		// Writing to a hash never fails.
-		_, _ = hash.WriteString(part + "\n")
-	}
-	return hash
-}
-
 // Prompt describes the prompt of a request to an engine.
 type Prompt struct {
 	// Parts has the parts of the prompt in order.
@@ -147,15 +133,32 @@
 	return int((x.Request.Prompt.Output-1)/tokens) + 1
 }
 
-// Fingerprint returns a hash of the host, method, target and body that the upstream
-// receives. The body of a turn that continues others begins with them.
+// TargetFingerprint returns a hash of the request's account, host, method and target.
+// Requests of two accounts never have the same one: one of them may crash upstreams, and
+// the other be sound.
+func (x *Exchange) TargetFingerprint() ident.Fingerprint {
+	return ident.Fingerprint(strconv.FormatUint(x.hashTarget().Sum64(), 16))
+}
+
+// Fingerprint returns a hash of what TargetFingerprint covers and of the body that the
+// upstream receives. The body of a turn that continues others begins
+// with them.
 func (x *Exchange) Fingerprint() ident.Fingerprint {
-	hash := x.Request.hashTarget()
+	hash := x.hashTarget()
 	// Writing to a hash never fails.
 	_, _ = hash.Write(x.Body)
 	return ident.Fingerprint(strconv.FormatUint(hash.Sum64(), 16))
 }
 
+func (x *Exchange) hashTarget() *xxhash.Digest {
+	hash := xxhash.New()
+	for _, part := range []string{strconv.Quote(string(x.AccountID())), x.Request.Host, x.Request.Method, x.Request.Target} {
+		// Writing to a hash never fails.
+		_, _ = hash.WriteString(part + "\n")
+	}
+	return hash
+}
+
 // Trace records the decisions on one exchange.
 type Trace struct {
 	Status int
