committer: record calls that exceed one transaction of the store

A call of the program API whose answer took more than 700 KiB had run, and its caller was told too_large and to send a smaller request; its work was lost, and the call stayed open. Services may answer with 4 MiB. A request between 700 KiB and the limit on bodies, 1 MiB by default, was refused though the settings allow it.

A longer batch is now written by several transactions, under the ID of the write; the last one appends it, on the conditions as before. Chunks of a batch that was not appended are left out by readers and removed with their tree.

Failed before: TestLargeTexts, "too_large: the request takes 1048820 bytes in the store and the limit is 716800 bytes", and TestUnfinishedBatch. The bound that TestLargeTexts asks for is now 25 MiB, the longest answer with all of its bytes escaped.

--- a/internal/committer/execution.go
+++ b/internal/committer/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -213,11 +214,17 @@
 	t := e.tree
 	after := apply(t.programs, decision.Records)
 	b := batch{writeID: newWriteID(), writtenAt: now, records: decision.Records}
-	transaction, err := e.transaction(b, after)
+	chunks, transaction, err := e.transaction(b, after)
 	if err != nil {
 		return nil, err
 	}
 	e.committer.onUse(t.root)
+	for puts := range slices.Chunk(chunks, maxChunks) {
+		// The rows count once the batch is appended, so that an unknown outcome is a failure.
+		if _, err := e.committer.store.Commit(ctx, rows.Transaction{Puts: puts}); err != nil {
+			return storeFailed{err}, permanentError(err)
+		}
+	}
 	result, err := e.committer.store.Commit(ctx, transaction)
 	switch {
 	case errors.Is(err, rows.ErrOutcomeUnknown):
@@ -254,23 +261,23 @@
 }
 
 // transaction returns the transaction that appends a batch and updates the
-// intents. Its conditions are that the batch does not exist and that the batch
-// before it is unchanged.
-func (e *execution) transaction(b batch, after program.Tree) (rows.Transaction, error) {
+// intents, and the chunks that have to be written before. Its conditions are that the
+// batch does not exist and that the batch before it is unchanged.
+func (e *execution) transaction(b batch, after program.Tree) ([]rows.Put, rows.Transaction, error) {
 	t := e.tree
-	puts, err := b.encode(t.root, t.nextSequence)
+	chunks, puts, err := b.encode(t.root, t.nextSequence)
 	if err != nil {
-		return rows.Transaction{}, err
+		return nil, rows.Transaction{}, err
 	}
 	intents, removes, err := intentChanges(t.programs, after, b.records)
 	if err != nil {
-		return rows.Transaction{}, err
+		return nil, rows.Transaction{}, err
 	}
 	conditions := []rows.Condition{{ID: batchID(t.root, t.nextSequence)}}
 	if t.nextSequence > 1 {
 		conditions = append(conditions, rows.Condition{ID: batchID(t.root, t.nextSequence-1), Version: t.lastVersion})
 	}
-	return rows.Transaction{Conditions: conditions, Puts: append(puts, intents...), Removes: removes}, nil
+	return chunks, rows.Transaction{Conditions: conditions, Puts: append(puts, intents...), Removes: removes}, nil
 }
 
 // reportReleases reports the engine memory of ended programs that can be
--- a/internal/committer/rows.go
+++ b/internal/committer/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,9 +25,12 @@
 	// chunkBytes bounds the encoded records in one row. A row holds 64 KiB, which
 	// is 48 KiB before base64 encoding.
 	chunkBytes = 40 << 10
-	// maxBatchBytes bounds the encoded records of one batch. A transaction holds
-	// 1 MiB, which is 768 KiB before base64 encoding.
-	maxBatchBytes = 700 << 10
+	// maxChunks bounds the chunk rows of one transaction. The store accepts 1 MB, of which
+	// their base64 encoding takes 0.87 MB.
+	maxChunks = 16
+	// maxBatchBytes bounds the encoded records of one batch: an answer has 4 MiB, and JSON
+	// escapes a byte by up to six.
+	maxBatchBytes = 25 << 20
 )
 
 // batchRow is the first row of a batch.
@@ -38,8 +42,19 @@
 	WrittenAtMS int64 `json:"at"`
 	// Records is empty if the encoded records are in chunk rows.
 	Records json.RawMessage `json:"records,omitempty"`
-	// Chunks is the number of chunk rows that follow.
-	Chunks int `json:"chunks,omitempty"`
+	// Chunks is the number of chunk rows. They have the ID of the write in their keys if
+	// Split is true: several transactions wrote them, and others may have begun to write
+	// the same batch.
+	Chunks int  `json:"chunks,omitempty"`
+	Split  bool `json:"split,omitempty"`
+}
+
+// chunkKey returns the key of a chunk row of the batch with a key.
+func (r batchRow) chunkKey(key rows.Key, chunk int) rows.Key {
+	if r.Split {
+		return rows.Key(fmt.Sprintf("%s/%s/%04d", key, r.WriteID, chunk))
+	}
+	return rows.Key(fmt.Sprintf("%s/%04d", key, chunk))
 }
 
 // batch is the sequence of records that one transaction wrote.
@@ -57,33 +72,37 @@
 
 func batchKey(n ident.Sequence) rows.Key { return rows.Key(fmt.Sprintf("%010d", n)) }
 
-// encode returns the rows of a batch.
-func (b batch) encode(root ident.ProgramID, n ident.Sequence) ([]rows.Put, error) {
+// encode returns the rows of a batch in the order in which they have to be written: the
+// first ones by transactions of their own, of maxChunks each, and last, by which the batch
+// exists, with the transaction that appends it.
+func (b batch) encode(root ident.ProgramID, n ident.Sequence) (first, last []rows.Put, err error) {
 	text, err := encoder.EncodeRecords(b.records)
 	if err != nil {
-		return nil, failure.New(failure.InvalidRequest, "the request can't be recorded: %v", errors.Cause(err))
+		return nil, nil, failure.New(failure.InvalidRequest, "the request can't be recorded: %v", errors.Cause(err))
 	}
 	if len(text) > maxBatchBytes {
-		return nil, failure.New(failure.TooLarge, "the request takes %d bytes in the store and the limit is %d bytes; send a smaller request", len(text), maxBatchBytes)
+		return nil, nil, failure.New(failure.TooLarge, "the request takes %d bytes in the store and the limit is %d bytes; send a smaller request", len(text), maxBatchBytes)
 	}
 	row := batchRow{WriteID: b.writeID, WrittenAtMS: b.writtenAt.UnixMilli()}
 	id := batchID(root, n)
-	var puts []rows.Put
+	var chunks []rows.Put
 	if len(text) <= chunkBytes {
 		row.Records = text
 	} else {
+		row.Chunks = (len(text) + chunkBytes - 1) / chunkBytes
+		row.Split = row.Chunks > maxChunks
 		for chunk := range slices.Chunk(text, chunkBytes) {
 			chunkID := id
-			chunkID.Key += rows.Key(fmt.Sprintf("/%04d", row.Chunks))
-			puts = append(puts, rows.Put{ID: chunkID, Value: chunk})
-			row.Chunks++
+			chunkID.Key = row.chunkKey(id.Key, len(chunks))
+			chunks = append(chunks, rows.Put{ID: chunkID, Value: chunk})
 		}
 	}
 	value, err := json.Marshal(row)
 	if err != nil {
-		return nil, errors.Annotate(err, "encode a batch")
+		return nil, nil, errors.Annotate(err, "encode a batch")
 	}
-	return append([]rows.Put{{ID: id, Value: value}}, puts...), nil
+	inFirst := max(0, len(chunks)-1) / maxChunks * maxChunks
+	return chunks[:inFirst], append([]rows.Put{{ID: id, Value: value}}, chunks[inFirst:]...), nil
 }
 
 // readBatches returns the batches of a tree, starting at the number from.
@@ -92,30 +111,51 @@
 	if err != nil {
 		return nil, err
 	}
-	var batches []batch
-	for remaining := page.Rows; len(remaining) > 0; {
-		var row batchRow
-		if err := json.Unmarshal(remaining[0].Value, &row); err != nil {
-			return nil, errors.Annotatef(err, "batch %s of program %s", remaining[0].Key, root)
-		}
-		if remaining[0].Key != batchKey(from) || len(remaining) <= row.Chunks {
-			return nil, errors.NotValidf("batch %s of program %s (want batch %s with %d chunk rows)", remaining[0].Key, root, batchKey(from), row.Chunks)
+	byKey := make(map[rows.Key]rows.Row, len(page.Rows))
+	appended := 0
+	for _, row := range page.Rows {
+		byKey[row.Key] = row
+		// Chunks of a batch that was not appended are left out.
+		if !strings.Contains(string(row.Key), "/") {
+			appended++
 		}
-		text := []byte(row.Records)
-		for _, chunk := range remaining[1 : row.Chunks+1] {
-			text = append(text, chunk.Value...)
+	}
+	var batches []batch
+	for ; len(batches) < appended; from++ {
+		first, ok := byKey[batchKey(from)]
+		if !ok {
+			return nil, errors.NotValidf("batch %s of program %s, which is missing,", batchKey(from), root)
 		}
-		records, err := encoder.DecodeRecords(text)
+		b, err := decodeBatch(first, byKey)
 		if err != nil {
-			return nil, errors.Annotatef(err, "batch %s of program %s", remaining[0].Key, root)
+			return nil, errors.Annotatef(err, "batch %s of program %s", first.Key, root)
 		}
-		batches = append(batches, batch{writeID: row.WriteID, writtenAt: time.UnixMilli(row.WrittenAtMS), records: records, version: remaining[0].Version})
-		remaining = remaining[row.Chunks+1:]
-		from++
+		batches = append(batches, b)
 	}
 	return batches, nil
 }
 
+// decodeBatch returns the batch of a row and its chunks.
+func decodeBatch(first rows.Row, byKey map[rows.Key]rows.Row) (batch, error) {
+	var row batchRow
+	if err := json.Unmarshal(first.Value, &row); err != nil {
+		return batch{}, err
+	}
+	text := []byte(row.Records)
+	for chunk := range row.Chunks {
+		stored, ok := byKey[row.chunkKey(first.Key, chunk)]
+		if !ok {
+			return batch{}, errors.NotValidf("batch without chunk %d of %d", chunk, row.Chunks)
+		}
+		text = append(text, stored.Value...)
+	}
+	records, err := encoder.DecodeRecords(text)
+	if err != nil {
+		return batch{}, err
+	}
+	return batch{writeID: row.WriteID, writtenAt: time.UnixMilli(row.WrittenAtMS), records: records, version: first.Version}, nil
+}
+
 const (
 	// intentsTable has a row for each call that has an intent and no recorded
 	// outcome.
