--- a/internal/filter/turnrecorder/turnrecorder.go
+++ b/internal/filter/turnrecorder/turnrecorder.go
@@ -131,11 +131,12 @@
 // never be room is refused for good.
 func claimHistory(ctx context.Context, memory *answerclaimer.Answerclaimer) ledger.Claim {
 	return func(size unit.Bytes) error {
-		if claim := memorylimiter.FromContext(ctx); claim != nil && !claim.CanGrow(historyCopies*size) {
+		err := memory.Reserve(size)
+		if err != nil && !memorylimiter.FromContext(ctx).CanGrow(historyCopies*size) {
 			return failure.Refusal(failure.TooLarge, 0,
 				"the turns before this one have %d bytes, for which a VM has no memory; start a new session", size)
 		}
-		return memory.Reserve(size)
+		return err
 	}
 }
 
