--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -73,7 +73,7 @@
 		{"ingress", "quota_slack", "requests", int64(20), "number of requests by which those of a window may exceed the quota beside the overage", Integer{0, math.MaxInt32,
 			func(s Target, v int64) { s.Ingress.QuotaSlack = int(v) }}},
 
-		{"callers", "request_memory", "bytes", int64(0), "memory for the requests of all callers together, and for the answers that the VM holds (outputs of turns, events above 4 KB, bodies above 8 KB), with the copies that it makes of them; 0 stands for 35 in 100 of memory: the process takes 14 MB, histories of turns 16 MB and connections 15 in 100", Integer{0, 1 << 40,
+		{"callers", "request_memory", "bytes", int64(0), "memory for the requests of all callers together, with the histories of their turns, and for the answers that the VM holds (outputs of turns, events above 4 KB, bodies above 8 KB), with the copies that it makes of them; 0 stands for 35 in 100 of memory: the process takes 14 MB, histories of turns 16 MB and connections 15 in 100", Integer{0, 1 << 40,
 			func(s Target, v int64) { s.Callers.RequestMemory = unit.Bytes(v) }}},
 		{"callers", "reserved_memory", "bytes", int64(0), "part of request_memory that large requests leave free for small ones; 0 stands for a quarter", Integer{0, 1 << 40,
 			func(s Target, v int64) { s.Callers.ReservedMemory = unit.Bytes(v) }}},
