--- a/internal/hostiletest/process_test.go
+++ b/internal/hostiletest/process_test.go
@@ -205,8 +205,14 @@
 	v.requests++
 	request, err := http.NewRequest(method, "http://"+v.bound.Requests+path, body)
 	v.g.Expect(err).NotTo(HaveOccurred())
-	request.Host, request.Close = "example.test", true
 	request.Header.Set("X-Attempt-Id", string(ident.RequestID(fmt.Sprint("ordinary-", v.requests))))
+	return statusOf(request)
+}
+
+// statusOf sends a request on a connection of its own and returns the status, 0 if there is
+// no whole answer.
+func statusOf(request *http.Request) int {
+	request.Host, request.Close = "example.test", true
 	response, err := (&http.Client{Timeout: answerTimeout}).Do(request)
 	if err != nil {
 		return 0
--- a/internal/hostiletest/turns_test.go
+++ b/internal/hostiletest/turns_test.go
@@ -31,21 +31,12 @@
 func (v *vm) sendTurn(id, program, previous string) int {
 	request, err := http.NewRequest(http.MethodPost, "http://"+v.bound.Requests+longTurnPath, strings.NewReader(strings.Repeat("b", maxBodyBytes)))
 	v.g.Expect(err).NotTo(HaveOccurred())
-	request.Host, request.Close = "example.test", true
 	for name, value := range map[string]string{"X-Attempt-Id": id, "X-Program-Id": program, "X-Previous-Turn": previous, "X-Token-Usage": "100,16"} {
 		if value != "" {
 			request.Header.Set(name, value)
 		}
 	}
-	response, err := (&http.Client{Timeout: answerTimeout}).Do(request)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0
-	}
-	return response.StatusCode
+	return statusOf(request)
 }
 
 // Guards against retained turns of legal size that are not served in calm, and that together
