--- a/internal/hostiletest/turns_test.go
+++ b/internal/hostiletest/turns_test.go
@@ -57,3 +57,20 @@
 		v.expectSound(t)
 	}
 }
+
+// longHistoryCrowd is the number of short turns that continue a long one at once.
+const longHistoryCrowd = 400
+
+// Guards against short turns that together take the memory of the VM, because it reads the
+// turn that each of them continues before it claims any memory.
+func TestLongHistories(t *testing.T) {
+	v := startVM(t)
+	v.g.Expect(v.sendTurn("calm", "calm", "")).To(Equal(http.StatusOK))
+	connect(t, v.bound.Requests, longHistoryCrowd, func(n int, conn net.Conn) {
+		more := fmt.Sprintf("X-Program-Id: p%d\r\nX-Token-Usage: 100,16\r\nX-Previous-Turn: calm\r\nConnection: close\r\nContent-Length: 1\r\n\r\nb", n)
+		if write(conn, head("POST", longTurnPath, more, n)) {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	})
+	v.expectSound(t)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -125,10 +125,10 @@
 	}
 }
 
-// recordReachability records whether the store was reached. Errors of cancelled
-// calls are ignored, because they say nothing about the store.
+// recordReachability records whether the store was reached. Errors of cancelled calls and
+// of an overloaded VM are ignored, because they say nothing about the store.
 func (l *Ledger) recordReachability(ctx context.Context, err error) {
-	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, rows.ErrOverloaded) {
 		l.unreachable.Store(err != nil)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,7 +165,7 @@
 
 // isOutage reports whether an error means that the store was not reached.
 func isOutage(err error) bool {
-	return err != nil && !errors.Is(err, rows.ErrCompacted)
+	return err != nil && !errors.Is(err, rows.ErrCompacted) && !errors.Is(err, rows.ErrOverloaded)
 }
 
 // weakerGuarantee returns the error that guarantees less, because either of the
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -33,6 +33,8 @@
 		return rows.ErrOutcomeUnknown
 	case "compacted":
 		return rows.ErrCompacted
+	case "overloaded":
+		return rows.ErrOverloaded
 	}
 	return nil
 }
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -102,6 +102,9 @@
 	// ErrOutcomeUnknown means that the store did not respond. A transaction may
 	// have been applied, or may still be applied as long as its conditions hold.
 	ErrOutcomeUnknown = errors.ConstError("the platform's store did not answer; read the rows to learn what happened")
+	// ErrOverloaded means that this VM reads too many long responses of the store at once.
+	// It says nothing about the store.
+	ErrOverloaded = errors.ConstError("this VM reads too many long responses of the platform's store; try again later")
 	// ErrCompacted means that the changes since the requested version are no longer
 	// available.
 	ErrCompacted = errors.ConstError("the platform's store dropped its history; read the table")
